Serve one query end to end through separate processes

Frame: a micro-kernel with services found by name, a clock in milliseconds, typed settings, msgpack envelopes over pynng, one owner's queue for each upstream, caller API over cheroot.

--- /dev/null
+++ b/packages/gooseberryctl/src/gooseberryctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator command line of gooseberrymux."""
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -0,0 +1,184 @@
+"""Caller API over HTTP and JSON: query, health, metrics."""
+
+import dataclasses
+
+import cheroot.wsgi
+import pydantic
+from result import Err, Ok, Result
+
+from gooseberrymux import metrics, web
+from gooseberrymux.calls import Calls
+from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.queries import Queries
+from gooseberrymux.records import Answer, Query, Rank, Refusal, Traffic
+from gooseberrymux.snapshots import Snapshots
+from gooseberrymux.web import Request, Response
+
+REFUSAL_STATUS = {"no_route": 404, "overloaded": 429, "deadline_expired": 504}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueryBody:
+    """JSON body of a query request."""
+
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid")
+
+    service: str
+    rank: Rank
+    terms: dict
+    labels: dict[str, str] = dataclasses.field(default_factory=dict)
+    deadline_ms: int | None = None
+    minimum_coverage: float = 0.0
+
+
+@service("api", requires=("queries", "calls", "configuration", "snapshots"))
+class Api:
+    """Serves callers, one worker thread a connection."""
+
+    __slots__ = (
+        "_kernel",
+        "_queries",
+        "_calls",
+        "_configuration",
+        "_snapshots",
+        "_server",
+        "_draining",
+    )
+
+    def __init__(self, *, kernel: Kernel):
+        self._kernel = kernel
+        self._queries = kernel.find("queries", Queries)
+        self._calls = kernel.find("calls", Calls)
+        self._configuration = kernel.find("configuration", ConfigurationService)
+        self._snapshots = kernel.find("snapshots", Snapshots)
+        self._server: cheroot.wsgi.Server | None = None
+        self._draining = False
+
+    def start(self) -> None:
+        """Opens the listener."""
+        settings = self._kernel.settings
+        self._server = web.create_server(
+            address=settings.instance.callers,
+            threads=settings.api.threads,
+            handle=self.handle,
+        )
+        self._server.prepare()
+        self._kernel.spawn(name="api.server", target=self._server.serve)
+
+    def drain(self, deadline_ms: float) -> None:
+        """Says leaving in the health answer and refuses new requests."""
+        self._draining = True
+
+    def stop(self) -> None:
+        """Finishes the requests in flight and closes the listener."""
+        if self._server:
+            self._server.stop()
+
+    def handle(self, request: Request) -> Response:
+        """Answers one request."""
+        match (request.method, request.path):
+            case ("POST", "/v1/query"):
+                return self._handle_query(request)
+            case ("GET", "/health"):
+                return self._handle_health()
+            case ("GET", "/metrics"):
+                body, headers = metrics.render_metrics(
+                    request.headers.get("accept", "")
+                )
+                return Response(status=200, body=body, headers=dict(headers))
+            case _:
+                return web.create_error(
+                    status=404,
+                    code="not_found",
+                    message=f"no {request.method} {request.path}",
+                    run_state="not_run",
+                )
+
+    def _handle_query(self, request: Request) -> Response:
+        settings = self._kernel.settings
+        match web.read_json(request, limit_bytes=settings.api.body_limit_bytes):
+            case Err(response):
+                return response
+            case Ok(decoded):
+                pass
+        match parse_body(QueryBody, decoded):
+            case Err(response):
+                return response
+            case Ok(body):
+                pass
+        deadline_ms = body.deadline_ms
+        if deadline_ms is None:
+            deadline_ms = getattr(settings.ranks, body.rank.value).deadline_ms
+        query = Query(
+            request_id=self._calls.create_id("q"),
+            traffic=Traffic(
+                caller=request.headers.get("x-caller", "anonymous"),
+                service=body.service,
+                rank=body.rank,
+                labels=body.labels,
+            ),
+            terms=body.terms,
+            deadline_ms=self._kernel.clock.now_ms() + deadline_ms,
+            minimum_coverage=body.minimum_coverage,
+        )
+        match self._queries.run(query):
+            case Ok(answer):
+                return web.create_json(status=200, body=describe_answer(answer))
+            case Err(refusal):
+                return create_refusal(refusal)
+
+    def _handle_health(self) -> Response:
+        state = "ready"
+        if self._kernel.failure:
+            state = "failed"
+        elif self._draining:
+            state = "leaving"
+        elif (
+            self._configuration.get_current() is None
+            or not self._snapshots.list_current()
+        ):
+            state = "starting"
+        status = 200 if state == "ready" else 503
+        return web.create_json(status=status, body={"state": state})
+
+
+def parse_body(cls: type, decoded: dict) -> Result:
+    """Returns the checked body, or the 400 that names the wrong field."""
+    try:
+        return Ok(pydantic.TypeAdapter(cls).validate_python(decoded))
+    except pydantic.ValidationError as error:
+        problem = error.errors()[0]
+        place = ".".join(str(part) for part in problem["loc"])
+        return Err(
+            web.refuse_body(400, "malformed_request", f"{place}: {problem['msg']}")
+        )
+
+
+def describe_answer(answer: Answer) -> dict:
+    """Returns the JSON form of an answer."""
+    return {
+        "request_id": answer.request_id,
+        "index": answer.index,
+        "version": answer.version,
+        "coverage": {
+            "complete": not answer.missing,
+            "shards_total": answer.shards_total,
+            "covered": list(answer.covered),
+            "missing": [
+                {"shard": missing.shard, "reason": missing.reason}
+                for missing in answer.missing
+            ],
+        },
+        "hits": answer.hits,
+    }
+
+
+def create_refusal(refusal: Refusal) -> Response:
+    """Returns the typed error of a refusal."""
+    return web.create_error(
+        status=REFUSAL_STATUS.get(refusal.code, 503),
+        code=refusal.code,
+        message=refusal.message,
+        run_state=refusal.run_state.value,
+    )
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -0,0 +1,78 @@
+"""Upstream records: what the platform's list says, and membership's first source."""
+
+import threading
+
+import pydantic
+
+from gooseberrymux import journal
+from gooseberrymux.configuration import Group
+from gooseberrymux.documents import DocumentChanged, Documents
+from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.membership import Membership
+from gooseberrymux.records import InstanceRecord, UpstreamRecord, UpstreamState
+
+INVENTORY_NAME = "instances"
+
+_upstreams = pydantic.TypeAdapter(list[UpstreamRecord])
+_instances = pydantic.TypeAdapter(list[InstanceRecord])
+
+
+@service("inventory", requires=("documents", "membership"))
+class Inventory:
+    """Holds the record of each upstream."""
+
+    __slots__ = ("_membership", "_upstreams", "_lock", "last_problem")
+
+    def __init__(self, *, kernel: Kernel):
+        kernel.find("documents", Documents)
+        self._membership = kernel.find("membership", Membership)
+        self._upstreams: dict[str, UpstreamRecord] = {}
+        self._lock = threading.Lock()
+        self.last_problem: str | None = None
+        kernel.subscribe(DocumentChanged, self._handle_document)
+
+    def start(self) -> None:
+        """Nothing to start: the list arrives as a document."""
+
+    def drain(self, deadline_ms: float) -> None:
+        """Nothing to drain."""
+
+    def stop(self) -> None:
+        """Nothing to stop."""
+
+    def describe(self, upstream: str) -> UpstreamRecord | None:
+        """Returns the record of an upstream, or None."""
+        return self._upstreams.get(upstream)
+
+    def list_upstreams(self) -> tuple[UpstreamRecord, ...]:
+        """Returns all records."""
+        with self._lock:
+            return tuple(self._upstreams.values())
+
+    def list_replicas(
+        self, *, groups: tuple[Group, ...], service_name: str
+    ) -> tuple[UpstreamRecord, ...]:
+        """Returns the live upstreams of a service that belong to one of the groups."""
+        return tuple(
+            record
+            for record in self.list_upstreams()
+            if record.service == service_name
+            and record.state is UpstreamState.LIVE
+            and any(group.match.items() <= record.labels.items() for group in groups)
+        )
+
+    def _handle_document(self, event: DocumentChanged) -> None:
+        if event.name != INVENTORY_NAME:
+            return
+        try:
+            upstreams = _upstreams.validate_python(event.body.get("upstreams", []))
+            instances = _instances.validate_python(event.body.get("instances", []))
+        except pydantic.ValidationError as error:
+            # The last good list stays in force.
+            self.last_problem = str(error.errors()[0])
+            journal.record_fault(step="inventory.decode", peer="platform", error=error)
+            return
+        with self._lock:
+            self._upstreams = {record.name: record for record in upstreams}
+        for record in instances:
+            self._membership.learn(record)
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/journal.py
@@ -0,0 +1,64 @@
+"""Structured logs: eliot JSON lines, one for each decision, event and fault."""
+
+import sys
+from collections.abc import Sequence
+from typing import IO
+
+import eliot
+
+from gooseberrymux.errors import MuxError
+
+
+def open_journal(*, instance: str, stream: IO[str] | None = None) -> None:
+    """Sends all log lines to `stream` (standard error by default) as JSON."""
+    eliot.add_global_fields(instance=instance)
+    eliot.to_file(stream or sys.stderr)
+
+
+def record_event(event: str, **fields: object) -> None:
+    """Writes one line for something that happened."""
+    eliot.log_message(message_type=event, **fields)
+
+
+def record_decision(
+    decision: str,
+    *,
+    chosen: object,
+    among: Sequence[object],
+    reason: str,
+    request_id: str = "",
+    **fields: object,
+) -> None:
+    """Writes one line for a routing or placement decision.
+
+    Args:
+        decision: What was decided, for example `routing.replica`.
+        chosen: The choice made.
+        among: The candidates it was chosen from.
+        reason: Why, in a few words.
+        request_id: The request it belongs to; the same on all instances.
+        **fields: Further fields of the line.
+    """
+    eliot.log_message(
+        message_type=decision,
+        chosen=chosen,
+        among=list(among),
+        reason=reason,
+        request_id=request_id,
+        **fields,
+    )
+
+
+def record_fault(*, step: str, peer: str, error: Exception, **fields: object) -> None:
+    """Writes one line for a fault, with the step and peer at which it arose."""
+    if isinstance(error, MuxError):
+        step = error.step
+        peer = error.peer or peer
+    eliot.log_message(
+        message_type="fault",
+        step=step,
+        peer=peer,
+        error=type(error).__name__,
+        message=str(error),
+        **fields,
+    )
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -0,0 +1,297 @@
+"""Every message between instances, as a frozen data class."""
+
+import dataclasses
+
+from gooseberrymux.records import Rank
+
+_message = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+
+@_message
+class Subrequest:
+    """One shard's part of a query, or an order, for one upstream.
+
+    Attributes:
+        id: Unique over instances, incarnations and attempts.
+        request_id: The caller's request that it belongs to.
+        upstream: Where to send it.
+        rank: Rank of the request.
+        remaining_ms: Milliseconds left to the deadline when it was sent.
+        index: Index of the snapshot.
+        version: Pinned index version; empty for an order.
+        shard: Shard; empty for an order.
+        order_key: Idempotency key of an order; empty for a query.
+        body: What the upstream gets.
+    """
+
+    id: str
+    request_id: str
+    upstream: str
+    rank: Rank
+    remaining_ms: float
+    index: str = ""
+    version: str = ""
+    shard: str = ""
+    order_key: str = ""
+    body: dict = dataclasses.field(default_factory=dict)
+
+
+@_message
+class CancelSubrequest:
+    """Its result is no longer wanted."""
+
+    id: str
+
+
+@_message
+class SubrequestCompleted:
+    """The upstream ran it and this is its reply.
+
+    Attributes:
+        id: The sub-request.
+        version: Index version that the reply names.
+        shard: Shard that the reply names.
+        reply: The upstream's reply.
+        upstream_ms: Time in milliseconds that the exchange took.
+        queued_ms: Time in milliseconds in the owner's queue.
+    """
+
+    id: str
+    version: str
+    shard: str
+    reply: dict
+    upstream_ms: float
+    queued_ms: float
+
+
+@_message
+class SubrequestNotRun:
+    """It certainly did not run.
+
+    Attributes:
+        id: The sub-request.
+        reason: One of the `REASON_` constants of `dispatch`.
+        step: Where it was refused.
+        peer: The upstream or instance that refused it.
+    """
+
+    id: str
+    reason: str
+    step: str
+    peer: str
+
+
+@_message
+class SubrequestUnknown:
+    """It may or may not have run.
+
+    Attributes:
+        id: The sub-request.
+        reason: What went wrong.
+        step: Where it went wrong.
+        peer: The upstream or instance concerned.
+    """
+
+    id: str
+    reason: str
+    step: str
+    peer: str
+
+
+SubrequestOutcome = SubrequestCompleted | SubrequestNotRun | SubrequestUnknown
+
+
+@_message
+class IncarnationMismatch:
+    """Answer to an envelope meant for another run of the receiver."""
+
+    intended: int
+    current: int
+
+
+@_message
+class MemberUpdate:
+    """What a member believes about another.
+
+    Attributes:
+        instance: The member it is about.
+        incarnation: Its run.
+        state: alive, suspect, dead or leaving.
+        address: Host and port of its peer listener.
+        failure_domain: Where it runs.
+        region: Region it runs in.
+    """
+
+    instance: str
+    incarnation: int
+    state: str
+    host: str
+    port: int
+    failure_domain: str
+    region: str = "default"
+
+
+@_message
+class Probe:
+    """Asks for a `ProbeReply`; carries member updates."""
+
+    sequence: int
+    updates: list[MemberUpdate] = dataclasses.field(default_factory=list)
+
+
+@_message
+class ProbeReply:
+    """Answers a `Probe` or, for another member, a `ProbeRequest`."""
+
+    sequence: int
+    target: str
+    updates: list[MemberUpdate] = dataclasses.field(default_factory=list)
+
+
+@_message
+class ProbeRequest:
+    """Asks the receiver to probe `target` and report."""
+
+    sequence: int
+    target: str
+    updates: list[MemberUpdate] = dataclasses.field(default_factory=list)
+
+
+@_message
+class DocumentDigest:
+    """Name, generation and content hash of a document."""
+
+    name: str
+    generation: int
+    hash: str
+
+
+@_message
+class DocumentOffer:
+    """The documents that the sender has; the receiver asks for newer ones."""
+
+    digests: list[DocumentDigest]
+
+
+@_message
+class DocumentRequest:
+    """Asks for the bodies of documents."""
+
+    names: list[str]
+
+
+@_message
+class DocumentBody:
+    """One whole document."""
+
+    name: str
+    generation: int
+    hash: str
+    body: dict
+
+
+@_message
+class LeavingNotice:
+    """An upstream is leaving and gets no new work.
+
+    Attributes:
+        upstream: The upstream.
+        epoch: Its registration that is leaving.
+        source: platform, operator or upstream.
+    """
+
+    upstream: str
+    epoch: int
+    source: str
+
+
+@_message
+class ClaimRequest:
+    """Asks a range's owner to commit a claim."""
+
+    call_id: str
+    key: str
+    attempt: str
+    digest: str
+
+
+@_message
+class OutcomeRecord:
+    """Asks a range's owner to commit an attempt's outcome or its release.
+
+    Attributes:
+        call_id: Matches the reply.
+        key: Idempotency key.
+        attempt: The attempt whose claim it is.
+        state: completed or released.
+        upstream: Where it ran.
+        reply: The upstream's reply.
+    """
+
+    call_id: str
+    key: str
+    attempt: str
+    state: str
+    upstream: str = ""
+    reply: dict = dataclasses.field(default_factory=dict)
+
+
+@_message
+class LedgerReply:
+    """Answers `ClaimRequest` and `OutcomeRecord`.
+
+    Attributes:
+        call_id: The call.
+        state: claimed, exists, recorded, too_old or unavailable.
+        attempt: The attempt that holds the claim.
+        digest: Digest of the order that holds the claim.
+        completed: Whether its outcome is recorded.
+        upstream: Where it ran.
+        reply: The upstream's reply.
+    """
+
+    call_id: str
+    state: str
+    attempt: str = ""
+    digest: str = ""
+    completed: bool = False
+    upstream: str = ""
+    reply: dict = dataclasses.field(default_factory=dict)
+
+
+@_message
+class StatusRequest:
+    """Asks for a `StatusReply`."""
+
+    call_id: str
+
+
+@_message
+class StatusReply:
+    """Status of one instance for the administration API."""
+
+    call_id: str
+    instance: str
+    status: dict
+
+
+MESSAGE_TYPES = (
+    Subrequest,
+    CancelSubrequest,
+    SubrequestCompleted,
+    SubrequestNotRun,
+    SubrequestUnknown,
+    IncarnationMismatch,
+    Probe,
+    ProbeReply,
+    ProbeRequest,
+    DocumentOffer,
+    DocumentRequest,
+    DocumentBody,
+    LeavingNotice,
+    ClaimRequest,
+    OutcomeRecord,
+    LedgerReply,
+    StatusRequest,
+    StatusReply,
+)
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -0,0 +1,34 @@
+"""Metrics of one instance, rendered in the Prometheus text format."""
+
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
+
+LATENCY_BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+
+requests_total = Counter(
+    "gooseberrymux_requests_total", "Caller requests by kind, rank and outcome."
+)
+request_ms = Histogram(
+    "gooseberrymux_request_ms",
+    "Time to answer a caller's request in milliseconds, by kind and rank.",
+    buckets=LATENCY_BUCKETS_MS,
+)
+subrequests_total = Counter(
+    "gooseberrymux_subrequests_total",
+    "Sub-requests by cause (first, hedge, retry) and outcome.",
+)
+dropped_total = Counter(
+    "gooseberrymux_dropped_total", "Messages and replies dropped, by reason."
+)
+queue_length = Gauge(
+    "gooseberrymux_queue_length", "Queued sub-requests by upstream and rank."
+)
+generation = Gauge(
+    "gooseberrymux_generation", "Generation in force of each replicated document."
+)
+members = Gauge("gooseberrymux_members", "Known instances by state.")
+faults_total = Counter("gooseberrymux_faults_total", "Faults by step.")
+
+
+def render_metrics(accept: str) -> tuple[bytes, dict[str, str]]:
+    """Returns body and headers for a scrape that accepts `accept`."""
+    return render(REGISTRY, [accept] if accept else [])
--- /dev/null
+++ b/packages/gooseberrystand/src/gooseberrystand/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and the upstreams, the demo and the load tool."""
