--- a/packages/gooseberrymux/src/gooseberrymux/kernel.py
+++ b/packages/gooseberrymux/src/gooseberrymux/kernel.py
@@ -202,6 +202,14 @@
                 journal.record_fault(step=step, peer="", error=error)
                 self._mark_failed(f"handler of {type(event).__name__}: {error}")
 
+    def describe(self) -> dict[str, dict]:
+        """Returns the status of each service that has a `describe` method."""
+        return {
+            name: self._services[name].describe()
+            for name in self._order
+            if hasattr(self._services[name], "describe")
+        }
+
     @property
     def failure(self) -> str | None:
         """Why the instance is failed, or None."""
--- a/packages/gooseberrystand/src/gooseberrystand/fleet.py
+++ b/packages/gooseberrystand/src/gooseberrystand/fleet.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import json
+import os
 import signal
 import socket
 import subprocess
@@ -182,8 +183,13 @@
         """Starts a Python module as a process that logs to a file of its own."""
         log = (self.folder / f"{name}.log").open("ab")
         self._logs.append(log)
+        # Children import the same packages as this process.
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
         return subprocess.Popen(
-            [sys.executable, "-m", module, *arguments], stdout=log, stderr=log
+            [sys.executable, "-m", module, *arguments],
+            stdout=log,
+            stderr=log,
+            env=environment,
         )
 
     def wait_for_port(self, port: int) -> None:
