--- a/packages/gooseberrystand/src/gooseberrystand/fleet.py
+++ b/packages/gooseberrystand/src/gooseberrystand/fleet.py
@@ -1,70 +1,50 @@
 """Starts stand-ins and instances as plain processes, for the demo, tests and bench."""
 
 import contextlib
-import dataclasses
 import json
-import os
-import signal
-import socket
-import subprocess
-import sys
-import time
 from collections.abc import Iterator
 from pathlib import Path
 
-import urllib3
-import yaml
-
-from gooseberrymux.errors import MuxError
-
-HOST = "127.0.0.1"
-START_TIMEOUT_S = 20
-STOP_TIMEOUT_S = 15
-OPERATOR_TOKEN = "demo-operator-token"
-FAILURE_DOMAINS = ("domain-a", "domain-b", "domain-c")
-
-
-class FleetError(MuxError):
-    """A process did not start, answer or stop in time."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class GroupShape:
-    """A group of services: its size and the shape of its servers."""
-
-    name: str
-    services: int
-    servers: int = 2
-    slots: int = 2
-    connections: int = 25
-
-
-AUTHORITY_DESK = GroupShape(name="order-desk", services=20)
-
-
-@dataclasses.dataclass(slots=True, kw_only=True)
-class InstanceProcess:
-    """One running instance."""
-
-    name: str
-    process: subprocess.Popen
-    settings: Path
-    caller_port: int
-    administration_port: int
-
-    @property
-    def url(self) -> str:
-        """Base URL of the caller API."""
-        return f"http://{HOST}:{self.caller_port}"
-
-    @property
-    def administration_url(self) -> str:
-        """Base URL of the administration API."""
-        return f"http://{HOST}:{self.administration_port}"
+from gooseberrymux.clock import Clock
+from gooseberrystand.client import Client, HttpReply
+from gooseberrystand.members import (
+    OPERATOR_TOKEN,
+    InstanceProcess,
+    UpstreamProcess,
+    create_instance,
+    create_platform,
+    create_upstream,
+)
+from gooseberrystand.processes import Child, FleetError, LogLine, Port
+from gooseberrystand.server import HOST
+from gooseberrystand.shapes import (
+    AUTHORITY_DESK,
+    GroupShape,
+    create_configuration,
+    create_index,
+    name_service,
+)
+
+__all__ = [
+    "AUTHORITY_DESK",
+    "OPERATOR_TOKEN",
+    "Fleet",
+    "FleetError",
+    "GroupShape",
+    "run_fleet",
+]
+
+START_TIMEOUT_MS = 20_000
+READY_POLL_MS = 30
+CALLER = "demo"
 
 
 class Fleet:
-    """A platform stand-in, upstream stand-ins and instances."""
+    """A platform stand-in, upstream stand-ins and instances.
+
+    Instances, upstreams and the platform are addressed by name; the platform's name
+    is `platform`.
+    """
 
     __slots__ = (
         "folder",
@@ -72,12 +52,15 @@
         "platform",
         "platform_port",
         "upstreams",
-        "upstream_ports",
         "instances",
         "service_ms",
+        "behaviour",
         "seed",
-        "http",
-        "_logs",
+        "client",
+        "clock",
+        "_platform_control_port",
+        "_ports",
+        "_overrides",
     )
 
     def __init__(
@@ -86,265 +69,332 @@
         folder: Path,
         shapes: tuple[GroupShape, ...] = (AUTHORITY_DESK,),
         service_ms: float = 5.0,
+        behaviour: dict | None = None,
         seed: int = 1,
     ):
+        """Prepares a fleet; `behaviour` holds fields of `work.Behaviour` for all."""
         self.folder = folder
         self.shapes = shapes
         self.service_ms = service_ms
+        self.behaviour = behaviour or {}
         self.seed = seed
-        self.platform: subprocess.Popen | None = None
-        self.platform_port = find_free_port()
-        self.upstreams: dict[str, subprocess.Popen] = {}
-        self.upstream_ports: dict[str, int] = {}
+        self.clock = Clock()
+        self._ports: list[Port] = []
+        self._overrides: dict = {}
+        self.platform_port = self._reserve_port()
+        self._platform_control_port = self._reserve_port()
+        self.platform = create_platform(
+            folder=folder,
+            port=self.platform_port,
+            control_port=self._platform_control_port,
+        )
+        self.upstreams: dict[str, UpstreamProcess] = {}
         self.instances: dict[str, InstanceProcess] = {}
-        self.http = urllib3.PoolManager(maxsize=64, retries=False)
-        self._logs: list = []
+        self.client = Client()
 
     def start(self, *, instances: int, overrides: dict | None = None) -> None:
-        """Starts all processes and waits until each instance is ready."""
-        ports = {
-            f"entry-{number}": (find_free_port(), find_free_port(), find_free_port())
-            for number in range(instances)
-        }
-        records = self._start_upstreams()
+        """Starts all processes side by side and waits until each is ready.
+
+        Args:
+            instances: Number of instances.
+            overrides: Settings merged over those of each instance, also of later ones.
+        """
+        self._overrides = overrides or {}
+        for _ in range(instances):
+            self._create_instance({})
+        for shape in self.shapes:
+            for number in range(shape.services):
+                for replica in range(shape.servers):
+                    self._create_upstream(shape, number, replica, {})
         objects = {
-            "configuration/current": self._create_configuration(),
+            "configuration/current": create_configuration(self.shapes),
             "instances": {
                 "generation": 1,
-                "upstreams": records,
-                "instances": [
-                    {
-                        "name": name,
-                        "host": HOST,
-                        "peer_port": peer_port,
-                        "failure_domain": pick_domain(number),
-                    }
-                    for number, (name, (_, _, peer_port)) in enumerate(ports.items())
-                ],
+                "upstreams": [entry.record for entry in self.upstreams.values()],
+                "instances": [entry.record for entry in self.instances.values()],
             },
-            **self._create_indexes(),
+            **{f"index/{shape.name}": create_index(shape) for shape in self.shapes},
         }
-        objects_file = self.folder / "objects.json"
-        objects_file.write_text(json.dumps(objects))
-        self.platform = self.spawn(
-            "platform",
-            "gooseberrystand.platform",
-            str(self.platform_port),
-            "--objects",
-            str(objects_file),
-        )
-        self.wait_for_port(self.platform_port)
-        for number, (name, own_ports) in enumerate(ports.items()):
-            self.start_instance(
-                name=name,
-                domain=pick_domain(number),
-                ports=own_ports,
-                overrides=overrides or {},
-            )
+        (self.folder / "objects.json").write_text(json.dumps(objects))
+        self.platform.start(says_ready=True)
+        for upstream in self.upstreams.values():
+            upstream.child.start(says_ready=True)
+        self.platform.wait_until_up()
+        for instance in self.instances.values():
+            instance.child.start()
+        for upstream in self.upstreams.values():
+            upstream.child.wait_until_up()
         for instance in self.instances.values():
             self.wait_until_ready(instance)
 
-    def start_instance(
-        self,
-        *,
-        name: str,
-        domain: str,
-        ports: tuple[int, int, int],
-        overrides: dict,
+    def stop(self) -> dict[str, int]:
+        """Stops instances gracefully, then the stand-ins; returns exit codes."""
+        running = [entry for entry in self.instances.values() if entry.child.running]
+        for instance in running:
+            instance.child.request_stop()
+        codes = {entry.name: entry.child.wait_until_stopped() for entry in running}
+        for upstream in self.upstreams.values():
+            upstream.child.kill()
+        self.platform.kill()
+        for port in self._ports:
+            port.release()
+        self._ports.clear()
+        self.client.close()
+        return codes
+
+    # Processes of either kind, by name.
+
+    def find_child(self, name: str) -> Child:
+        """Returns the process of an instance, an upstream or the platform."""
+        if name == self.platform.name:
+            return self.platform
+        return (self.instances.get(name) or self.upstreams[name]).child
+
+    def kill(self, name: str) -> None:
+        """Ends a process at once; its record stays in the platform's list."""
+        self.find_child(name).kill()
+
+    def freeze(self, name: str) -> None:
+        """Stops a process from running until `thaw`."""
+        self.find_child(name).freeze()
+
+    def thaw(self, name: str) -> None:
+        """Lets a frozen process run on."""
+        self.find_child(name).thaw()
+
+    def restart(self, name: str) -> None:
+        """Starts an ended process again on the same ports and waits until ready.
+
+        The platform restarts with the objects of the fleet's start.
+        """
+        child = self.find_child(name)
+        if name in self.instances:
+            child.start()
+            self.wait_until_ready(self.instances[name])
+        else:
+            child.start(says_ready=True)
+            child.wait_until_up()
+
+    def read_log(self, name: str, message_type: str | None = None) -> list[LogLine]:
+        """Returns the JSON log lines of a process, all or those of one type."""
+        return self.find_child(name).read_log(message_type)
+
+    # Instances.
+
+    def add_instance(
+        self, *, overrides: dict | None = None, wait: bool = True
     ) -> InstanceProcess:
-        """Starts one instance; does not wait until it is ready."""
-        caller_port, administration_port, peer_port = ports
-        settings = {
-            "instance": {
-                "name": name,
-                "failure_domain": domain,
-                "callers": {"host": HOST, "port": caller_port},
-                "administration": {"host": HOST, "port": administration_port},
-                "peers": {"host": HOST, "port": peer_port},
-            },
-            "platform": {"url": f"http://{HOST}:{self.platform_port}"},
-            "api": {"operator_tokens": {OPERATOR_TOKEN: "demo"}},
-            **overrides,
-        }
-        path = self.folder / f"{name}.yaml"
-        path.write_text(yaml.safe_dump(settings))
-        process = self.spawn(name, "gooseberrymux.main", "run", "--settings", str(path))
-        instance = InstanceProcess(
-            name=name,
-            process=process,
-            settings=path,
-            caller_port=caller_port,
-            administration_port=administration_port,
-        )
-        self.instances[name] = instance
+        """Starts and registers one more instance."""
+        instance = self._create_instance(overrides or {})
+        self.register(put=[instance.record])
+        instance.child.start()
+        if wait:
+            self.wait_until_ready(instance)
         return instance
 
-    def spawn(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
-        """Starts a Python module as a process that logs to a file of its own."""
-        log = (self.folder / f"{name}.log").open("ab")
-        self._logs.append(log)
-        # Children import the same packages as this process.
-        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
-        return subprocess.Popen(
-            [sys.executable, "-m", module, *arguments],
-            stdout=log,
-            stderr=log,
-            env=environment,
-        )
+    def replace_instance(self, name: str) -> InstanceProcess:
+        """Kills an instance, removes its record and adds another."""
+        self.kill(name)
+        self.register(remove=[name])
+        return self.add_instance()
 
-    def wait_for_port(self, port: int) -> None:
-        """Waits until a process listens on a port."""
-        until_s = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < until_s:
-            with contextlib.suppress(OSError):
-                socket.create_connection((HOST, port), timeout=1).close()
-                return
-            time.sleep(0.05)
-        raise FleetError(step="fleet.start", peer=str(port), message="no listener")
+    def stop_instance(self, name: str) -> int:
+        """Stops an instance gracefully and returns its exit code."""
+        child = self.find_child(name)
+        child.request_stop()
+        return child.wait_until_stopped()
 
     def wait_until_ready(self, instance: InstanceProcess) -> None:
         """Waits until an instance's health says ready."""
-        until_s = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < until_s:
-            with contextlib.suppress(urllib3.exceptions.HTTPError):
-                reply = self.http.request("GET", f"{instance.url}/health", timeout=1)
-                if reply.status == 200:
-                    return
-            time.sleep(0.05)
+        until_ms = self.clock.now_ms() + START_TIMEOUT_MS
+        while self.clock.now_ms() < until_ms and instance.child.running:
+            if (
+                self.client.call("GET", f"{instance.url}/health", timeout_s=1).status
+                == 200
+            ):
+                return
+            # An instance has no other signal of being ready than its health answer.
+            self.clock.sleep_ms(READY_POLL_MS)
         raise FleetError(
-            step="fleet.start", peer=instance.name, message="did not become ready"
+            step="fleet.start",
+            peer=instance.name,
+            message=f"not ready: {instance.child.log_path.read_text()[-500:]}",
         )
 
-    def query(self, instance: InstanceProcess, **body: object) -> dict:
-        """Sends a query to an instance and returns its JSON answer."""
-        reply = self.http.request(
-            "POST",
-            f"{instance.url}/v1/query",
-            body=json.dumps(body).encode(),
-            headers={"Content-Type": "application/json", "X-Caller": "demo"},
-            timeout=30,
-        )
-        return json.loads(reply.data)
+    # Upstreams.
 
-    def stop(self) -> dict[str, int]:
-        """Stops instances gracefully, then the stand-ins; returns exit codes."""
-        codes = {
-            name: stop_process(instance.process)
-            for name, instance in self.instances.items()
-        }
-        for process in (*self.upstreams.values(), self.platform):
-            if process is not None:
-                process.kill()
-                process.wait()
-        for log in self._logs:
-            log.close()
-        return codes
+    def add_upstream(
+        self, *, group: str, number: int, behaviour: dict | None = None
+    ) -> UpstreamProcess:
+        """Starts and registers one more replica of a group's n-th service."""
+        shape = next(shape for shape in self.shapes if shape.name == group)
+        service = name_service(shape, number)
+        replica = sum(
+            entry.record["service"] == service for entry in self.upstreams.values()
+        )
+        upstream = self._create_upstream(shape, number, replica, behaviour or {})
+        upstream.child.start(says_ready=True)
+        upstream.child.wait_until_up()
+        self.register(put=[upstream.record])
+        return upstream
+
+    def replace_upstream(
+        self, name: str, *, behaviour: dict | None = None
+    ) -> UpstreamProcess:
+        """Kills an upstream, removes its record and adds another replica."""
+        record = self.upstreams[name].record
+        self.kill(name)
+        self.register(remove=[name])
+        return self.add_upstream(
+            group=record["labels"]["group"],
+            number=int(record["service"].rsplit("-", 1)[1]),
+            behaviour=behaviour,
+        )
 
-    def _start_upstreams(self) -> list[dict]:
-        records = []
-        for shape in self.shapes:
-            for number in range(shape.services):
-                for replica in range(shape.servers):
-                    records.append(self._start_upstream(shape, number, replica))
-        for port in self.upstream_ports.values():
-            self.wait_for_port(port)
-        return records
-
-    def _start_upstream(self, shape: GroupShape, number: int, replica: int) -> dict:
-        service = f"{shape.name}-{number:02d}"
-        name = f"{service}-{replica}"
-        port = find_free_port()
-        self.upstream_ports[name] = port
-        self.upstreams[name] = self.spawn(
-            name,
-            "gooseberrystand.upstream",
-            str(port),
-            "--name",
-            name,
-            "--slots",
-            str(shape.slots),
-            "--service-ms",
-            str(self.service_ms),
-            "--seed",
-            str(self.seed + len(self.upstreams)),
+    def control(self, upstream: str, **behaviour: object) -> dict:
+        """Changes fields of an upstream's behaviour; see `work.Behaviour`."""
+        port = self.upstreams[upstream].control_port
+        return self.client.control("POST", port, "/_control", behaviour)
+
+    def control_all(self, **behaviour: object) -> None:
+        """Changes fields of the behaviour of all running upstreams."""
+        for name, upstream in self.upstreams.items():
+            if upstream.child.running:
+                self.control(name, **behaviour)
+
+    def read_stats(self, upstream: str) -> dict:
+        """Returns an upstream's counts."""
+        return self.client.control(
+            "GET", self.upstreams[upstream].control_port, "/_stats"
         )
-        return {
-            "name": name,
-            "host": HOST,
-            "port": port,
-            "service": service,
-            "failure_domain": pick_domain(number + replica),
-            "slots": shape.slots,
-            "connections": shape.connections,
-            "labels": {"group": shape.name},
-        }
 
-    def _create_configuration(self) -> dict:
+    def read_all_stats(self) -> dict[str, dict]:
+        """Returns the counts of all running upstreams, by name."""
         return {
-            "generation": 1,
-            "change_id": "initial",
-            "groups": [
-                {
-                    "name": shape.name,
-                    "index": shape.name,
-                    "match": {"group": shape.name},
-                }
-                for shape in self.shapes
-            ],
-            "selectors": [
-                {
-                    "name": f"{shape.name}-all",
-                    "priority": 10,
-                    "services": [shape.name],
-                    "groups": [shape.name],
-                }
-                for shape in self.shapes
-            ],
+            name: self.read_stats(name)
+            for name, upstream in self.upstreams.items()
+            if upstream.child.running
         }
 
-    def _create_indexes(self) -> dict[str, dict]:
-        return {
-            f"index/{shape.name}": {
-                "generation": 1,
-                "current": "v1",
-                "versions": {
-                    "v1": {
-                        f"shard-{number:02d}": f"{shape.name}-{number:02d}"
-                        for number in range(shape.services)
-                    }
-                },
-            }
-            for shape in self.shapes
-        }
+    def count_runs(self, key: str) -> int:
+        """Returns how often an order ran, over all running upstreams."""
+        return sum(
+            stats["order_runs"].get(key, 0) for stats in self.read_all_stats().values()
+        )
 
+    # Platform.
 
-@contextlib.contextmanager
-def run_fleet(*, instances: int, fleet: Fleet) -> Iterator[Fleet]:
-    """Starts a fleet and stops it at the end."""
-    try:
-        fleet.start(instances=instances)
-        yield fleet
-    finally:
-        fleet.stop()
+    def set_faults(self, **faults: object) -> dict:
+        """Sets faults of the platform; see `platform.Faults`."""
+        return self.client.control(
+            "POST", self._platform_control_port, "/_faults", faults
+        )
+
+    def read_calls(self) -> dict:
+        """Returns the platform's counts of reads, writes and watches."""
+        return self.client.control("GET", self._platform_control_port, "/_calls")
+
+    def register(
+        self, *, put: list[dict] | None = None, remove: list[str] | None = None
+    ) -> dict:
+        """Puts and removes records of the platform's list, by name."""
+        body = {"put": put or [], "remove": remove or []}
+        return self.client.control(
+            "POST", self._platform_control_port, "/_instances", body
+        )
 
+    def read_object(self, name: str) -> dict:
+        """Returns a platform object with its version and value."""
+        return self.client.call("GET", f"{self.platform_url}/objects/{name}").body
+
+    def write_object(self, name: str, value: dict) -> HttpReply:
+        """Writes a platform object over its current version."""
+        version = self.read_object(name)["version"]
+        return self.client.call(
+            "PUT",
+            f"{self.platform_url}/objects/{name}",
+            {"value": value, "expected_version": version},
+        )
+
+    @property
+    def platform_url(self) -> str:
+        """Base URL of the object API."""
+        return f"http://{HOST}:{self.platform_port}"
 
-def find_free_port() -> int:
-    """Returns a port that the system says is free."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    # Requests of callers.
 
+    def query(self, instance: InstanceProcess, **body: object) -> dict:
+        """Sends a query to an instance and returns its JSON answer."""
+        return self.send(instance, "/v1/query", body).body
 
-def pick_domain(number: int) -> str:
-    """Returns the failure domain of the n-th process of a kind."""
-    return FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+    def order(self, instance: InstanceProcess, *, key: str, **body: object) -> dict:
+        """Sends an order to an instance and returns its JSON answer."""
+        return self.send(
+            instance, "/v1/order", body, headers={"Idempotency-Key": key}
+        ).body
 
+    def send(
+        self,
+        instance: InstanceProcess,
+        path: str,
+        body: dict | None = None,
+        *,
+        method: str = "POST",
+        headers: dict[str, str] | None = None,
+    ) -> HttpReply:
+        """Sends a caller's request to an instance."""
+        return self.client.call(
+            method,
+            instance.url + path,
+            body,
+            headers={"X-Caller": CALLER, **(headers or {})},
+        )
 
-def stop_process(process: subprocess.Popen) -> int:
-    """Asks a process to stop and returns its exit code."""
-    process.send_signal(signal.SIGTERM)
+    def _reserve_port(self) -> int:
+        port = Port()
+        self._ports.append(port)
+        return port.number
+
+    def _create_instance(self, overrides: dict) -> InstanceProcess:
+        number = len(self.instances)
+        instance = create_instance(
+            name=f"entry-{number}",
+            number=number,
+            folder=self.folder,
+            ports=(self._reserve_port(), self._reserve_port(), self._reserve_port()),
+            platform_url=self.platform_url,
+            overrides=[self._overrides, overrides],
+        )
+        self.instances[instance.name] = instance
+        return instance
+
+    def _create_upstream(
+        self, shape: GroupShape, number: int, replica: int, behaviour: dict
+    ) -> UpstreamProcess:
+        upstream = create_upstream(
+            shape=shape,
+            number=number,
+            replica=replica,
+            folder=self.folder,
+            ports=(self._reserve_port(), self._reserve_port()),
+            behaviour={
+                "service_ms": self.service_ms,
+                "seed": self.seed + len(self.upstreams),
+                **self.behaviour,
+                **behaviour,
+            },
+        )
+        self.upstreams[upstream.name] = upstream
+        return upstream
+
+
+@contextlib.contextmanager
+def run_fleet(
+    *, instances: int, fleet: Fleet, overrides: dict | None = None
+) -> Iterator[Fleet]:
+    """Starts a fleet and stops it at the end."""
     try:
-        return process.wait(STOP_TIMEOUT_S)
-    except subprocess.TimeoutExpired:
-        process.kill()
-        return process.wait()
+        fleet.start(instances=instances, overrides=overrides)
+        yield fleet
+    finally:
+        fleet.stop()
--- a/packages/gooseberrystand/src/gooseberrystand/platform.py
+++ b/packages/gooseberrystand/src/gooseberrystand/platform.py
@@ -1,122 +1,183 @@
-"""Stand-in for the platform's object API: versions, conditional updates, watches."""
+"""Stand-in for the platform: object API, instance list, faults on demand."""
 
+import argparse
+import dataclasses
 import json
 import threading
-import time
 from pathlib import Path
-from typing import Annotated
-from urllib.parse import parse_qs
 
-import typer
-from result import Err, Ok
+from gooseberrymux.clock import Clock
+from gooseberrystand.objects import ObjectStore
+from gooseberrystand.server import Call, JsonReply, NoReply, Reply, create_error, serve
 
-from gooseberrymux import web
-from gooseberrymux.settings import Address
-from gooseberrymux.web import Request, Response
+OUTAGE_MODES = ("close", "hang")
 
-BODY_LIMIT_BYTES = 1_000_000
-THREADS = 64
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Faults:
+    """Faults in force.
 
-class ObjectStore:
-    """Objects with versions; each write raises the store's revision."""
+    Attributes:
+        outage: No call is answered.
+        outage_mode: `close` ends connections at once, `hang` leaves calls waiting
+            until the outage ends.
+        slow_ms: Delay of each call in milliseconds.
+        lose_write_replies: Writes that will still take effect without a reply.
+        stale_reads: Reads answer from before an object's last write.
+        list_lag_ms: How much later changes of `instances` become visible.
+    """
 
-    __slots__ = ("_objects", "_changed", "_revision")
+    outage: bool = False
+    outage_mode: str = "close"
+    slow_ms: float = 0.0
+    lose_write_replies: int = 0
+    stale_reads: bool = False
+    list_lag_ms: float = 0.0
 
-    def __init__(self):
-        self._objects: dict[str, dict] = {}
-        self._changed = threading.Condition()
-        self._revision = 0
 
-    def get(self, name: str) -> dict:
-        """Returns an object; version 0 if it does not exist."""
-        with self._changed:
-            return self._objects.get(name, {"name": name, "version": 0, "value": {}})
+class PlatformServer:
+    """Answers the object API and counts its calls."""
+
+    __slots__ = ("_clock", "_store", "_faults", "_counts", "_changed")
+
+    def __init__(self, *, clock: Clock, store: ObjectStore):
+        self._clock = clock
+        self._store = store
+        self._faults = Faults()
+        self._counts = {"read": 0, "write": 0, "watch": 0, "watch_open": 0}
+        self._changed = threading.Condition()
 
-    def put(self, *, name: str, value: dict, expected_version: int) -> dict:
-        """Writes an object if its version is still the expected one."""
+    def open_connection(self) -> bool:
+        """Refuses connections in an outage of mode `close`."""
+        faults = self._faults
+        return not (faults.outage and faults.outage_mode == "close")
+
+    def prepare_connection(self) -> None:
+        """Needs no preparation."""
+
+    def close_connection(self) -> None:
+        """Counts no connections."""
+
+    def handle(self, call: Call) -> Reply:
+        """Answers a call of the object API."""
+        if self._faults.slow_ms:
+            self._clock.sleep_ms(self._faults.slow_ms)
+        if self._is_out():
+            return NoReply()
+        match (call.method, call.path):
+            case ("GET", "/objects"):
+                self._count("read")
+                prefix = call.fields.get("prefix", "")
+                return self._reply(self._store.list_changed(prefix=prefix, after=0))
+            case ("GET", "/watch"):
+                return self._watch(call)
+            case ("GET", path) if path.startswith("/objects/"):
+                self._count("read")
+                return self._reply(self._store.get(path.removeprefix("/objects/")))
+            case ("PUT", path) if path.startswith("/objects/"):
+                return self._write(path.removeprefix("/objects/"), call.body)
+            case _:
+                return create_error(404, "not_found", call.path)
+
+    def handle_control(self, call: Call) -> Reply:
+        """Answers fault control, counts and registration."""
+        match (call.method, call.path):
+            case ("POST", "/_faults"):
+                return self._set_faults(call.body)
+            case ("GET", "/_faults"):
+                return JsonReply(body=dataclasses.asdict(self._faults))
+            case ("GET", "/_calls"):
+                with self._changed:
+                    return JsonReply(body=dict(self._counts))
+            case ("POST", "/_instances"):
+                edited = self._store.edit_instances(
+                    put=call.body.get("put", []), remove=call.body.get("remove", [])
+                )
+                return JsonReply(body=edited)
+            case _:
+                return create_error(404, "not_found", call.path)
+
+    def _set_faults(self, given: dict) -> Reply:
         with self._changed:
-            current = self.get(name)
-            if current["version"] != expected_version:
-                return {"conflict": True, **current}
-            self._revision += 1
-            self._objects[name] = {
-                "name": name,
-                "version": self._revision,
-                "value": value,
-            }
+            try:
+                faults = dataclasses.replace(self._faults, **given)
+            except TypeError as error:
+                return create_error(400, "malformed_request", str(error))
+            if faults.outage_mode not in OUTAGE_MODES:
+                return create_error(400, "malformed_request", "outage_mode")
+            self._faults = faults
+            self._store.stale = faults.stale_reads
+            self._store.list_lag_ms = faults.list_lag_ms
             self._changed.notify_all()
-            return {"name": name, "version": self._revision}
+        if faults.outage:
+            self._store.interrupt_watches()
+        return JsonReply(body=dataclasses.asdict(faults))
 
-    def list_changed(self, *, prefix: str, after: int) -> dict:
-        """Returns objects under a prefix that changed after a revision."""
+    def _is_out(self) -> bool:
+        # A call that meets an outage gets no reply; in mode `hang` only at its end.
         with self._changed:
-            return {
-                "revision": self._revision,
-                "objects": [
-                    found
-                    for name, found in sorted(self._objects.items())
-                    if name.startswith(prefix) and found["version"] > after
-                ],
-            }
-
-    def watch(self, *, prefix: str, after: int, timeout_ms: int) -> dict:
-        """Waits until objects under a prefix changed after a revision."""
-        until_s = time.monotonic() + timeout_ms / 1000
+            met = self._faults.outage
+            while self._faults.outage and self._faults.outage_mode == "hang":
+                self._clock.wait(self._changed, None)
+            return met
+
+    def _reply(self, body: dict) -> Reply:
+        return NoReply() if self._is_out() else JsonReply(body=body)
+
+    def _count(self, kind: str, change: int = 1) -> None:
         with self._changed:
-            while True:
-                changes = self.list_changed(prefix=prefix, after=after)
-                left_s = until_s - time.monotonic()
-                if changes["objects"] or left_s <= 0:
-                    return changes
-                self._changed.wait(left_s)
-
-
-def handle(store: ObjectStore, request: Request) -> Response:
-    """Answers one call."""
-    fields = {key: values[0] for key, values in parse_qs(request.query).items()}
-    name = request.path.removeprefix("/objects/")
-    match (request.method, request.path.split("/")[1]):
-        case ("GET", "objects") if request.path == "/objects":
-            body = store.list_changed(prefix=fields.get("prefix", ""), after=0)
-        case ("GET", "objects"):
-            body = store.get(name)
-        case ("GET", "watch"):
-            body = store.watch(
-                prefix=fields.get("prefix", ""),
-                after=int(fields.get("after", "0")),
-                timeout_ms=int(fields.get("timeout_ms", "0")),
+            self._counts[kind] += change
+
+    def _watch(self, call: Call) -> Reply:
+        self._count("watch")
+        self._count("watch_open")
+        try:
+            changes = self._store.watch(
+                prefix=call.fields.get("prefix", ""),
+                after=int(call.fields.get("after", "0")),
+                timeout_ms=float(call.fields.get("timeout_ms", "0")),
+                is_interrupted=lambda: self._faults.outage,
             )
-        case ("PUT", "objects"):
-            match web.read_json(request, limit_bytes=BODY_LIMIT_BYTES):
-                case Err(response):
-                    return response
-                case Ok(given):
-                    body = store.put(
-                        name=name,
-                        value=given["value"],
-                        expected_version=given["expected_version"],
-                    )
-            status = 409 if body.get("conflict") else 200
-            return web.create_json(status=status, body=body)
-        case _:
-            return web.refuse_body(404, "not_found", request.path)
-    return web.create_json(status=200, body=body)
-
-
-def main(port: int, objects: Annotated[Path | None, typer.Option()] = None) -> None:
+        finally:
+            self._count("watch_open", -1)
+        return self._reply(changes)
+
+    def _write(self, name: str, body: dict) -> Reply:
+        self._count("write")
+        try:
+            value, expected_version = body["value"], int(body["expected_version"])
+        except (KeyError, TypeError, ValueError) as error:
+            return create_error(400, "malformed_request", repr(error))
+        written = self._store.put(
+            name=name, value=value, expected_version=expected_version
+        )
+        if written.get("conflict"):
+            return JsonReply(status=409, body=written)
+        with self._changed:
+            if self._faults.lose_write_replies > 0:
+                self._faults.lose_write_replies -= 1
+                return NoReply()
+        return self._reply(written)
+
+
+def main() -> None:
     """Serves the object API on loopback, with the objects of a JSON file."""
-    store = ObjectStore()
-    if objects:
-        for name, value in json.loads(objects.read_text()).items():
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("port", type=int)
+    parser.add_argument("--control-port", type=int, default=0)
+    parser.add_argument("--objects", type=Path)
+    arguments = parser.parse_args()
+    clock = Clock()
+    store = ObjectStore(clock=clock)
+    if arguments.objects:
+        for name, value in json.loads(arguments.objects.read_text()).items():
             store.put(name=name, value=value, expected_version=0)
-    server = web.create_server(
-        address=Address(port=port),
-        threads=THREADS,
-        handle=lambda request: handle(store, request),
+    serve(
+        port=arguments.port,
+        control_port=arguments.control_port,
+        application=PlatformServer(clock=clock, store=store),
     )
-    server.safe_start()
 
 
 if __name__ == "__main__":
-    typer.run(main)
+    main()
--- /dev/null
+++ b/tests/test_objects.py
@@ -0,0 +1,76 @@
+"""The platform stand-in's promises on objects."""
+
+import pytest
+
+from gooseberrymux.clock import ManualClock
+from gooseberrystand.objects import ObjectStore
+from gooseberrystand.platform import PlatformServer
+from gooseberrystand.server import Call, NoReply
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def store(clock):
+    return ObjectStore(clock=clock)
+
+
+def call(method, path, body=None):
+    return Call(method=method, path=path, fields={}, headers={}, body=body or {})
+
+
+def test_only_one_of_two_writers_with_the_same_version_wins(store):
+    first = store.put(name="a", value={"by": 1}, expected_version=0)
+    second = store.put(name="a", value={"by": 2}, expected_version=0)
+    assert first == {"name": "a", "version": 1}
+    assert second["conflict"] is True
+    assert store.get("a")["value"] == {"by": 1}
+
+
+def test_lagging_list_is_not_lost_to_a_watcher_that_saw_later_objects(store, clock):
+    store.list_lag_ms = 500
+    store.put(name="instances", value={"generation": 1}, expected_version=0)
+    store.put(name="other", value={}, expected_version=0)
+    early = store.list_changed(prefix="instances", after=0)
+    assert early["objects"] == []
+    clock.advance(500)
+    late = store.list_changed(prefix="instances", after=early["revision"])
+    assert [found["value"] for found in late["objects"]] == [{"generation": 1}]
+
+
+def test_stale_read_answers_from_before_the_last_write(store):
+    store.put(name="a", value={"n": 1}, expected_version=0)
+    store.put(name="a", value={"n": 2}, expected_version=1)
+    store.stale = True
+    assert store.get("a")["value"] == {"n": 1}
+
+
+def test_instance_list_edits_keep_other_records_and_raise_the_generation(store):
+    store.edit_instances(
+        put=[{"name": "u1"}, {"name": "e1", "peer_port": 1}], remove=[]
+    )
+    edited = store.edit_instances(put=[{"name": "u2"}], remove=["e1"])
+    value = store.get("instances")["value"]
+    assert edited == {"generation": 2}
+    assert [record["name"] for record in value["upstreams"]] == ["u1", "u2"]
+    assert value["instances"] == []
+
+
+def test_lost_reply_means_the_write_took_effect(store, clock):
+    server = PlatformServer(clock=clock, store=store)
+    server.handle_control(call("POST", "/_faults", {"lose_write_replies": 1}))
+    write = call("PUT", "/objects/a", {"value": {"n": 1}, "expected_version": 0})
+    assert isinstance(server.handle(write), NoReply)
+    assert server.handle(call("GET", "/objects/a")).body["version"] == 1
+    assert server.handle(write).status == 409
+
+
+def test_outage_answers_nothing_but_control(store, clock):
+    server = PlatformServer(clock=clock, store=store)
+    server.handle_control(call("POST", "/_faults", {"outage": True}))
+    assert isinstance(server.handle(call("GET", "/objects/a")), NoReply)
+    assert server.open_connection() is False
+    assert server.handle_control(call("GET", "/_calls")).status == 200
