Demo: run an order after the queries

Cause: the demo showed queries only. The order endpoint is not there yet, so a 404 with the code not_found is printed and passes; any other answer must be a completed order that ran once.

--- a/packages/gooseberrystand/src/gooseberrystand/demo.py
+++ b/packages/gooseberrystand/src/gooseberrystand/demo.py
@@ -1,13 +1,18 @@
-"""Demo: the Authority's ordering desk, three instances, a query of each rank."""
+"""Demo: the Authority's ordering desk, three instances, queries and one order."""
 
+import json
 import sys
 import tempfile
 from pathlib import Path
 
+import uuid6
+
 from gooseberrymux.records import Rank
-from gooseberrystand.fleet import Fleet
+from gooseberrystand.fleet import AUTHORITY_DESK, Fleet
 
 INSTANCES = 3
+STATUS_OK = 200
+CODE_NOT_FOUND = "not_found"
 
 
 def main() -> int:
@@ -17,20 +22,28 @@
         print("starting platform, 40 upstreams and 3 instances", flush=True)
         try:
             fleet.start(instances=INSTANCES)
-            complete = all(
+            shown = [
                 show_query(fleet, number, rank) for number, rank in enumerate(Rank)
-            )
+            ]
+            shown.append(show_order(fleet))
         finally:
             codes = fleet.stop()
     print(f"stopped gracefully, exit codes {codes}")
-    return 0 if complete and not any(codes.values()) else 1
+    return 0 if all(shown) and not any(codes.values()) else 1
 
 
 def show_query(fleet: Fleet, number: int, rank: Rank) -> bool:
-    """Runs a query of one rank and prints its coverage and snapshot."""
+    """Runs a query of one rank; prints its coverage and snapshot.
+
+    Returns:
+        Whether the answer covers all shards.
+    """
     instance = list(fleet.instances.values())[number % INSTANCES]
     answer = fleet.query(
-        instance, service="order-desk", rank=rank.value, terms={"text": "blanket"}
+        instance,
+        service=AUTHORITY_DESK.name,
+        rank=rank.value,
+        terms={"text": "blanket"},
     )
     if "error" in answer:
         print(f"{rank.value} query through {instance.name}: {answer['error']}")
@@ -44,5 +57,28 @@
     return coverage["complete"]
 
 
+def show_order(fleet: Fleet) -> bool:
+    """Runs one order and prints the answer and how often it ran.
+
+    Returns:
+        Whether it completed and ran once; true if there is no order endpoint.
+    """
+    instance = next(iter(fleet.instances.values()))
+    key = str(uuid6.uuid7())
+    reply = fleet.send_order(
+        instance,
+        key=key,
+        service=AUTHORITY_DESK.name,
+        rank=Rank.URGENT.value,
+        order={"item": "blanket", "count": 2},
+    )
+    runs = fleet.count_runs(key)
+    print(f"order through {instance.name}: {json.dumps(reply.body)}, ran {runs} times")
+    error = reply.body.get("error")
+    if isinstance(error, dict) and error.get("code") == CODE_NOT_FOUND:
+        return True
+    return reply.status == STATUS_OK and runs == 1
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/packages/gooseberrystand/src/gooseberrystand/fleet.py
+++ b/packages/gooseberrystand/src/gooseberrystand/fleet.py
@@ -329,9 +329,14 @@
 
     def order(self, instance: InstanceProcess, *, key: str, **body: object) -> dict:
         """Sends an order to an instance and returns its JSON answer."""
-        return self.send(
-            instance, "/v1/order", body, headers={"Idempotency-Key": key}
-        ).body
+        return self.send_order(instance, key=key, **body).body
+
+    def send_order(
+        self, instance: InstanceProcess, *, key: str, **body: object
+    ) -> HttpReply:
+        """Sends an order to an instance and returns status and answer."""
+        headers = {"Idempotency-Key": key}
+        return self.send(instance, "/v1/order", body, headers=headers)
 
     def send(
         self,
