--- /dev/null
+++ b/tests/ctl/test_ctl_files.py
@@ -0,0 +1,86 @@
+"""Configuration files of gooseberryctl: lines in messages, edits, differences."""
+
+import pytest
+
+from gooseberryctl.client import Edit, Problem
+from gooseberryctl.files import (
+    FileError,
+    create_edits,
+    describe_difference,
+    read_file,
+)
+
+TEXT = """\
+groups:
+  - name: desk
+    index: desk
+    match: {group: desk}
+selectors:
+  - name: all
+    priority: 1
+    groups: [desk]
+"""
+
+
+def write(tmp_path, text):
+    path = tmp_path / "configuration.yaml"
+    path.write_text(text)
+    return path
+
+
+def test_problem_names_file_line_object_and_field(tmp_path):
+    found = read_file(write(tmp_path, TEXT))
+    located = found.locate(
+        Problem(object="selector/all", field="groups.0", message="unknown group")
+    )
+    assert located.endswith(":8: selector/all groups.0: unknown group")
+
+
+@pytest.mark.parametrize(
+    ("text", "message"),
+    [
+        ("groups:\n  - index: desk\n", ":2): a group needs the field 'name'"),
+        ("colours: []\n", ":1): unknown section 'colours'"),
+        ("groups: {}\n", ":1): expected a list of group objects"),
+        ("groups: [\n", "file ("),
+        (
+            "groups:\n  - name: a\n  - name: a\n",
+            ":3): group 'a' stands already on line 2",
+        ),
+    ],
+)
+def test_wrong_file_is_refused_with_its_line(tmp_path, text, message):
+    with pytest.raises(FileError) as caught:
+        read_file(write(tmp_path, text))
+    assert message in str(caught.value)
+
+
+def test_unchanged_file_makes_no_edit(tmp_path):
+    wanted = read_file(write(tmp_path, TEXT))
+    current = {
+        "groups": [
+            {"name": "desk", "index": "desk", "match": {"group": "desk"}, "labels": {}}
+        ],
+        "selectors": [
+            {"name": "all", "priority": 1, "groups": ["desk"], "callers": []}
+        ],
+    }
+    assert create_edits(current=current, wanted=wanted, prune=True) == ()
+
+
+def test_prune_removes_what_the_file_lacks_and_only_with_prune(tmp_path):
+    wanted = read_file(write(tmp_path, TEXT))
+    current = {"drains": [{"upstream": "desk-0"}]}
+    kept = create_edits(current=current, wanted=wanted, prune=False)
+    assert [edit.action for edit in kept] == ["put", "put"]
+    pruned = create_edits(current=current, wanted=wanted, prune=True)
+    assert pruned[-1] == Edit(action="remove", kind="drain", name="desk-0")
+
+
+def test_difference_shows_both_sides(tmp_path):
+    wanted = read_file(write(tmp_path, TEXT))
+    current = {"selectors": [{"name": "all", "priority": 5, "groups": ["desk"]}]}
+    edits = create_edits(current=current, wanted=wanted, prune=False)
+    text = describe_difference(current=current, edits=edits)
+    assert "-priority: 5" in text
+    assert "+priority: 1" in text
