Load tool: open-loop load on real processes

Ruled out: kept connections from the generators (an instance closes idle ones, and a query sent on a closing connection would count as lost); closed-loop load (it hides waiting when the fleet is slow).

Before: no load tool.

--- /dev/null
+++ b/packages/gooseberrystand/src/gooseberrystand/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool: open-loop load on real processes, faults at given moments, reports."""
--- a/packages/gooseberrystand/src/gooseberrystand/processes.py
+++ b/packages/gooseberrystand/src/gooseberrystand/processes.py
@@ -138,6 +138,10 @@
                 self.thaw()
             self.process.send_signal(signal.SIGTERM)
 
+    def wait(self) -> int:
+        """Blocks until the process ends by itself; returns its exit code."""
+        return self._collect(None)
+
     def wait_until_stopped(self) -> int:
         """Returns the exit code; kills a process that does not stop in time."""
         try:
