--- a/packages/gooseberrystand/src/gooseberrystand/bench/generator.py
+++ b/packages/gooseberrystand/src/gooseberrystand/bench/generator.py
@@ -26,7 +26,7 @@
 # Answers later than this after the deadline count as lost.
 GRACE_MS = 1_000
 MINIMUM_THREADS = 8
-MAXIMUM_THREADS = 400
+MAXIMUM_THREADS = 800
 THREAD_MARGIN = 1.5
 
 
--- a/packages/gooseberrystand/src/gooseberrystand/bench/report.py
+++ b/packages/gooseberrystand/src/gooseberrystand/bench/report.py
@@ -43,7 +43,8 @@
         worth_kept: The same, each answer weighted by its rank's worth and coverage.
         untruthful: Answers whose hits differ from the coverage they claim.
         instance_cpu: CPU of the busiest instance, as a share of one core.
-        cpu_bound: Whether an instance or a generator was too slow for the load.
+        cpu_bound: Whether the busiest instance was short of CPU.
+        generator_bound: Whether a generator sent later than scheduled.
         reasons: Why queries were refused or lost.
     """
 
@@ -68,6 +69,7 @@
     upstream_cpu: float
     generator_late_ms: float
     cpu_bound: bool
+    generator_bound: bool
     seed: int
     reasons: dict[str, int]
 
@@ -84,8 +86,8 @@
         "instance_cpu": round(measured.instance_cpu, 3),
         "upstream_cpu": round(measured.upstream_cpu, 3),
         "generator_late_ms": round(measured.generator_late_ms, 1),
-        "cpu_bound": measured.instance_cpu > CPU_BOUND_SHARE
-        or measured.generator_late_ms > GENERATOR_LATE_MS,
+        "cpu_bound": measured.instance_cpu > CPU_BOUND_SHARE,
+        "generator_bound": measured.generator_late_ms > GENERATOR_LATE_MS,
     }
     records = []
     for rank in case.ranks:
@@ -165,8 +167,11 @@
 def format_row(record: Record) -> str:
     """Returns a record as a row of the table."""
     cells = [format_value(getattr(record, name)) for name in COLUMNS]
-    mark = f"  cpu-bound ({record.instance_cpu})" if record.cpu_bound else ""
-    return format_cells(cells) + mark
+    if record.cpu_bound:
+        cells.append(f"  instances short of CPU ({record.instance_cpu})")
+    if record.generator_bound:
+        cells.append(f"  generators late ({record.generator_late_ms} ms)")
+    return format_cells(cells)
 
 
 def format_cells(cells: tuple[str, ...] | list[str]) -> str:
--- /dev/null
+++ b/packages/gooseberrystand/src/gooseberrystand/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes for capacity planning: how costs grow with the size of a fleet."""
