--- a/packages/gooseberrystand/src/gooseberrystand/bench/generator.py
+++ b/packages/gooseberrystand/src/gooseberrystand/bench/generator.py
@@ -113,9 +113,9 @@
                 self.tally.add(outcome)
 
     def _send(self, due_ms: float, ports: list[int]) -> RequestOutcome:
-        deadline_ms = due_ms + self._plan.deadline_ms
+        until_ms = due_ms + self._plan.deadline_ms
         for port in ports:
-            left_ms = deadline_ms - self._clock.now_ms()
+            left_ms = until_ms - self._clock.now_ms()
             if left_ms <= 0:
                 return Lost(reason="not sent before the deadline")
             connection = http.client.HTTPConnection(
@@ -123,10 +123,12 @@
             )
             try:
                 connection.connect()
-            except OSError:
+            except ConnectionRefusedError:
                 continue
+            except OSError as error:
+                return Lost(reason=f"connect: {type(error).__name__}")
             try:
-                status, decoded = self._exchange(connection, left_ms)
+                status, decoded = self._exchange(connection, until_ms)
             except (OSError, http.client.HTTPException, ValueError) as error:
                 return Lost(reason=type(error).__name__)
             finally:
@@ -140,8 +142,10 @@
         return Lost(reason="no instance accepts connections")
 
     def _exchange(
-        self, connection: http.client.HTTPConnection, left_ms: float
+        self, connection: http.client.HTTPConnection, until_ms: float
     ) -> tuple[int, dict]:
+        left_ms = max(1, until_ms - self._clock.now_ms())
+        connection.sock.settimeout((left_ms + GRACE_MS) / 1000)
         body = json.dumps({**self._body, "deadline_ms": max(1, int(left_ms))})
         connection.request(
             "POST",
--- a/packages/gooseberrystand/src/gooseberrystand/slopes/__main__.py
+++ b/packages/gooseberrystand/src/gooseberrystand/slopes/__main__.py
@@ -11,6 +11,7 @@
     "upstreams": idle.measure_upstreams,
     "configuration": idle.measure_configuration,
     "changes": work.measure_changes,
+    "change_sizes": work.measure_change_sizes,
     "subrequests": work.measure_subrequests,
     "orders": work.measure_orders,
 }
--- a/packages/gooseberrystand/src/gooseberrystand/slopes/work.py
+++ b/packages/gooseberrystand/src/gooseberrystand/slopes/work.py
@@ -14,6 +14,8 @@
 SMALL_FLEET = 3
 SETTLE_MS = 3_000
 CHANGES = (0, 10, 20, 40)
+CHANGED_SELECTORS = (10, 100, 1_000)
+CHANGES_EACH = 16
 CHANGE_STRETCH_MS = 8_000
 SELECTORS = 20
 DESK = GroupShape(name="order-desk", services=10)
@@ -30,7 +32,12 @@
         fleet.clock.sleep_ms(SETTLE_MS)
         for count in CHANGES:
             meter = Meter(fleet=fleet)
-            pace(fleet, count, CHANGE_STRETCH_MS, lambda: change_configuration(fleet))
+            pace(
+                fleet,
+                count,
+                CHANGE_STRETCH_MS,
+                lambda: grow_configuration(fleet, selectors=SELECTORS),
+            )
             found.append((count, meter.stop()))
     size = f"configuration changes of {SELECTORS} selectors"
     yield Series(
@@ -47,6 +54,42 @@
     )
 
 
+def measure_change_sizes() -> Iterator[Series]:
+    """CPU and bytes of one configuration change against the size it has."""
+    cpu, traffic = [], []
+    with run_small_fleet(instances=SMALL_FLEET) as fleet:
+        for selectors in CHANGED_SELECTORS:
+            fleet.clock.sleep_ms(SETTLE_MS)
+            idle = Meter(fleet=fleet)
+            fleet.clock.sleep_ms(CHANGE_STRETCH_MS)
+            idle_costs = idle.stop()
+            meter = Meter(fleet=fleet)
+            pace(
+                fleet,
+                CHANGES_EACH,
+                CHANGE_STRETCH_MS,
+                lambda selectors=selectors: grow_configuration(
+                    fleet, selectors=selectors
+                ),
+            )
+            costs = meter.stop()
+            spent_ms = costs.mean_cpu_share - idle_costs.mean_cpu_share
+            sent = costs.mean_network_rate - idle_costs.mean_network_rate
+            stretch_s = costs.elapsed_s / CHANGES_EACH
+            cpu.append((selectors, spent_ms * 1000 * stretch_s))
+            traffic.append((selectors, sent * stretch_s))
+    yield Series(
+        cost="CPU of an instance for one configuration change (ms)",
+        size="selectors",
+        points=cpu,
+    )
+    yield Series(
+        cost="traffic of an instance for one configuration change (bytes)",
+        size="selectors",
+        points=traffic,
+    )
+
+
 def measure_subrequests() -> Iterator[Series]:
     """CPU of the entry and of owners against sub-requests.
 
@@ -124,11 +167,6 @@
     fleet.clock.sleep_ms(start_ms + stretch_ms - fleet.clock.now_ms())
 
 
-def change_configuration(fleet: Fleet) -> None:
-    """Writes the next generation of the same configuration."""
-    grow_configuration(fleet, selectors=SELECTORS)
-
-
 def send_query(fleet: Fleet, entry: str) -> None:
     """Sends one query."""
     fleet.query(
