Propose configuration changes safely under lost replies and stale reads

Cause: operators on different shifts race each other, and the platform loses replies of writes that took effect and answers reads from the past. A change must be applied once, an accepted one must stay, and a refusal must not be untrue.

Ruled out: reading back alone (a stale read does not show that a write failed; the same conditional update is sent again instead, and its conflict brings the current object); comparing whole configurations to rebase (the base is not kept anywhere; each generation lists the objects that it touched); recognising a change id without a base (an id that has left the 64 kept ones would be applied again, so a base that is older than the kept changes is a conflict); writing over an object that does not decode and has a higher generation (it may be an accepted change of a later release).

Before: the configuration could only be read.

Conclusion: outcomes are Accepted, Conflict, Invalid and Unavailable.

--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -1,29 +1,59 @@
 """Administration API, on an address that callers can't reach, with operator tokens."""
 
+import dataclasses
+import hmac
+
 import cheroot.wsgi
+from result import Err, Ok, Result
 
-from gooseberrymux import web
-from gooseberrymux.documents import Documents
+from gooseberrymux import admin_bodies, journal, web
+from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.edits import Change
+from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.membership import Membership
+from gooseberrymux.ownership import find_owner
+from gooseberrymux.platform import BODY_LIMIT_BYTES
+from gooseberrymux.records import RunState, UpstreamRecord
+from gooseberrymux.selectors import explain
+from gooseberrymux.status import FleetStatus, Status
 from gooseberrymux.web import Request, Response
 
+THREADS = 8
+# Below the timeout of operators' clients, so that silent instances are named.
+STATUS_TIMEOUT_MS = 1_500
+DRAINS_PATH = "/v1/drains/"
+
 
-@service("admin", requires=("documents",))
+@service(
+    "admin",
+    requires=("configuration", "documents", "inventory", "membership", "status"),
+)
 class Admin:
-    """Serves operators."""
+    """Serves operators, one worker thread a connection."""
 
-    __slots__ = ("_kernel", "_documents", "_server")
+    __slots__ = (
+        "_kernel",
+        "_configuration",
+        "_inventory",
+        "_membership",
+        "_status",
+        "_server",
+    )
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
-        self._documents = kernel.find("documents", Documents)
+        self._configuration = kernel.find("configuration", ConfigurationService)
+        self._inventory = kernel.find("inventory", Inventory)
+        self._membership = kernel.find("membership", Membership)
+        self._status = kernel.find("status", Status)
         self._server: cheroot.wsgi.Server | None = None
 
     def start(self) -> None:
         """Opens the listener."""
         self._server = web.create_server(
             address=self._kernel.settings.instance.administration,
-            threads=4,
+            threads=THREADS,
             handle=self.handle,
         )
         self._server.prepare()
@@ -33,23 +63,202 @@
         """Stays up, so that operators can watch the drain."""
 
     def stop(self) -> None:
-        """Closes the listener."""
+        """Finishes the requests in flight and closes the listener."""
         if self._server:
             self._server.stop()
 
     def handle(self, request: Request) -> Response:
-        """Answers one request."""
+        """Answers one request of an operator and logs it with the operator's name."""
+        match self._authenticate(request):
+            case Err(response):
+                operator = ""
+            case Ok(operator):
+                response = self._handle_authenticated(request, operator)
+        journal.record_event(
+            "admin.call",
+            operator=operator,
+            method=request.method,
+            path=request.path,
+            query=request.query,
+            status=response.status,
+        )
+        return response
+
+    def _authenticate(self, request: Request) -> Result[str, Response]:
+        scheme, _, token = request.headers.get("authorization", "").partition(" ")
+        if scheme.lower() != "bearer" or not token.strip():
+            refusal = web.create_error(
+                status=401,
+                code="unauthenticated",
+                message="expected an Authorization header with a bearer token",
+                run_state=RunState.NOT_RUN.value,
+            )
+            return Err(
+                dataclasses.replace(refusal, headers={"WWW-Authenticate": "Bearer"})
+            )
+        operator = find_operator(
+            token=token.strip(), tokens=self._kernel.settings.api.operator_tokens
+        )
+        if operator is None:
+            return Err(
+                web.create_error(
+                    status=403,
+                    code="unknown_token",
+                    message="the token is not an operator's",
+                    run_state=RunState.NOT_RUN.value,
+                )
+            )
+        return Ok(operator)
+
+    def _handle_authenticated(self, request: Request, operator: str) -> Response:
         match (request.method, request.path):
+            case ("GET", "/v1/configuration"):
+                return self._show_configuration()
+            case ("POST", "/v1/configuration/changes"):
+                return self._handle_change(request, operator)
             case ("GET", "/v1/status"):
-                digests = {
-                    digest.name: digest.generation
-                    for digest in self._documents.list_digests()
-                }
-                return web.create_json(status=200, body={"documents": digests})
+                fleet = self._status.collect(STATUS_TIMEOUT_MS)
+                return web.create_json(
+                    status=200, body=admin_bodies.describe_fleet(fleet)
+                )
+            case ("GET", "/v1/upstreams"):
+                return self._show_upstreams()
+            case ("GET", "/v1/explain"):
+                return self._explain(request)
+            case ("POST" | "DELETE", path) if path.startswith(DRAINS_PATH):
+                return self._handle_drain(request, operator)
             case _:
                 return web.create_error(
                     status=404,
                     code="not_found",
                     message=f"no {request.method} {request.path}",
-                    run_state="not_run",
+                    run_state=RunState.NOT_RUN.value,
                 )
+
+    def _show_configuration(self) -> Response:
+        current = self._configuration.get_current()
+        if current is None:
+            return refuse_not_ready()
+        return web.create_json(
+            status=200, body=admin_bodies.describe_configuration(current)
+        )
+
+    def _handle_change(self, request: Request, operator: str) -> Response:
+        match web.read_json(request, limit_bytes=BODY_LIMIT_BYTES):
+            case Err(response):
+                return response
+            case Ok(decoded):
+                pass
+        match admin_bodies.decode_change(decoded, operator):
+            case Err(response):
+                return response
+            case Ok(change):
+                return self._propose(change)
+
+    def _handle_drain(self, request: Request, operator: str) -> Response:
+        decoded: dict = {}
+        if request.environ.get("CONTENT_LENGTH") not in (None, "", "0"):
+            match web.read_json(request, limit_bytes=BODY_LIMIT_BYTES):
+                case Err(response):
+                    return response
+                case Ok(decoded):
+                    pass
+        change = admin_bodies.decode_drain(
+            decoded,
+            upstream=request.path.removeprefix(DRAINS_PATH),
+            draining=request.method == "POST",
+            operator=operator,
+        )
+        match change:
+            case Err(response):
+                return response
+            case Ok(proposed):
+                return self._propose(proposed)
+
+    def _propose(self, change: Change) -> Response:
+        outcome = self._configuration.propose(change)
+        return admin_bodies.create_outcome(change, outcome)
+
+    def _explain(self, request: Request) -> Response:
+        current = self._configuration.get_current()
+        if current is None:
+            return refuse_not_ready()
+        match admin_bodies.decode_traffic(request.query):
+            case Err(response):
+                return response
+            case Ok(traffic):
+                found = explain(
+                    configuration=current,
+                    traffic=traffic,
+                    upstreams=self._inventory.list_upstreams(),
+                )
+                return web.create_json(
+                    status=200, body=admin_bodies.describe_explanation(found)
+                )
+
+    def _show_upstreams(self) -> Response:
+        fleet = self._status.collect(STATUS_TIMEOUT_MS)
+        current = self._configuration.get_current()
+        drained = {drain.upstream for drain in current.drains} if current else set()
+        members = self._membership.list_live()
+        listed = []
+        for record in sorted(
+            self._inventory.list_upstreams(), key=lambda found: found.name
+        ):
+            owner = find_owner(upstream=record, members=members)
+            listed.append(
+                describe_upstream(
+                    record=record,
+                    owner=owner.name if owner else None,
+                    draining=record.name in drained,
+                    fleet=fleet,
+                )
+            )
+        return web.create_json(
+            status=200, body={"upstreams": listed, "silent": list(fleet.silent)}
+        )
+
+
+def find_operator(*, token: str, tokens: dict[str, str]) -> str | None:
+    """Returns the operator of a token, or None.
+
+    Every token is compared, each in constant time, so that the time of the answer
+    tells nothing about a token that is nearly right.
+    """
+    found = None
+    given = token.encode()
+    for known, operator in tokens.items():
+        if hmac.compare_digest(known.encode(), given):
+            found = operator
+    return found
+
+
+def describe_upstream(
+    *, record: UpstreamRecord, owner: str | None, draining: bool, fleet: FleetStatus
+) -> dict:
+    """Returns an upstream with the queue that its owner reported, or None for it."""
+    services = fleet.instances.get(owner or "", {}).get("services", {})
+    match services:
+        case {"dispatch": {"lanes": {record.name: {"queued": dict(queue)}}}}:
+            pass
+        case _:
+            queue = None
+    return {
+        "name": record.name,
+        "service": record.service,
+        "owner": owner,
+        "state": record.state.value,
+        "draining": draining,
+        "slots": record.slots,
+        "queue": queue,
+    }
+
+
+def refuse_not_ready() -> Response:
+    """Returns the refusal of an instance that has no configuration yet."""
+    return web.create_error(
+        status=503,
+        code="not_ready",
+        message="no configuration is known yet",
+        run_state=RunState.NOT_RUN.value,
+    )
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/admin_bodies.py
@@ -0,0 +1,256 @@
+"""JSON forms of the administration API: what requests say and what answers hold."""
+
+import dataclasses
+from collections.abc import Iterable
+from typing import Annotated, Literal
+from urllib.parse import parse_qs
+
+import pydantic
+import uuid6
+from result import Err, Ok, Result
+
+from gooseberrymux import web
+from gooseberrymux.configuration_model import Configuration, Kind, Problem
+from gooseberrymux.configuration_model import encode_configuration as encode_document
+from gooseberrymux.edits import (
+    Accepted,
+    Change,
+    Conflict,
+    Edit,
+    Invalid,
+    Outcome,
+    PutEdit,
+    RemoveEdit,
+    Unavailable,
+)
+from gooseberrymux.records import Rank, RunState, Traffic
+from gooseberrymux.selectors import Explanation
+from gooseberrymux.status import FleetStatus
+from gooseberrymux.web import Response
+
+STRICT = pydantic.ConfigDict(extra="forbid")
+
+_body = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+
+
+@_body
+class EditBody:
+    """One edit; `value` is needed to put and ignored to remove."""
+
+    __pydantic_config__ = STRICT
+
+    action: Literal["put", "remove"]
+    kind: Kind
+    name: Annotated[str, pydantic.Field(min_length=1)]
+    value: dict | None = None
+
+
+@_body
+class ChangeBody:
+    """Body of a proposed change."""
+
+    __pydantic_config__ = STRICT
+
+    base_generation: Annotated[int, pydantic.Field(ge=0)]
+    change_id: str
+    edits: list[EditBody]
+    dry_run: bool = False
+    allow_unreachable: bool = False
+
+
+@_body
+class DrainBody:
+    """Body of a drain or its end; every field may be left out."""
+
+    __pydantic_config__ = STRICT
+
+    reason: str = ""
+    base_generation: int | None = None
+    change_id: str | None = None
+    dry_run: bool = False
+    allow_unreachable: bool = False
+
+
+_change_body = pydantic.TypeAdapter(ChangeBody)
+_drain_body = pydantic.TypeAdapter(DrainBody)
+
+
+def decode_change(decoded: dict, operator: str) -> Result[Change, Response]:
+    """Returns a proposed change, or the 422 that names what is wrong with it."""
+    match validate(_change_body, decoded):
+        case Err(response):
+            return Err(response)
+        case Ok(body):
+            return Ok(
+                Change(
+                    change_id=body.change_id,
+                    operator=operator,
+                    base_generation=body.base_generation,
+                    edits=tuple(decode_edit(edit) for edit in body.edits),
+                    dry_run=body.dry_run,
+                    allow_unreachable=body.allow_unreachable,
+                )
+            )
+
+
+def decode_edit(edit: EditBody) -> Edit:
+    """Returns the edit of a body."""
+    if edit.action == "remove":
+        return RemoveEdit(kind=edit.kind, name=edit.name)
+    return PutEdit(kind=edit.kind, name=edit.name, value=edit.value or {})
+
+
+def decode_drain(
+    decoded: dict, *, upstream: str, draining: bool, operator: str
+) -> Result[Change, Response]:
+    """Returns the change that starts or ends a drain."""
+    match validate(_drain_body, decoded):
+        case Err(response):
+            return Err(response)
+        case Ok(body):
+            pass
+    edit: Edit = RemoveEdit(kind=Kind.DRAIN, name=upstream)
+    if draining:
+        value = {"reason": body.reason}
+        edit = PutEdit(kind=Kind.DRAIN, name=upstream, value=value)
+    return Ok(
+        Change(
+            change_id=body.change_id or str(uuid6.uuid7()),
+            operator=operator,
+            base_generation=body.base_generation,
+            edits=(edit,),
+            dry_run=body.dry_run,
+            allow_unreachable=body.allow_unreachable,
+        )
+    )
+
+
+def validate(adapter: pydantic.TypeAdapter, decoded: dict) -> Result:
+    """Returns the checked body, or the 422 that names each wrong field."""
+    try:
+        return Ok(adapter.validate_python(decoded))
+    except pydantic.ValidationError as error:
+        problems = [
+            Problem(
+                object="change",
+                field=".".join(str(part) for part in problem["loc"]),
+                message=problem["msg"],
+            )
+            for problem in error.errors()
+        ]
+        return Err(create_invalid(problems))
+
+
+def decode_traffic(query: str) -> Result[Traffic, Response]:
+    """Returns the traffic that the parameters of an explanation describe."""
+    fields = parse_qs(query, keep_blank_values=True)
+    rank = fields.get("rank", [Rank.STANDARD.value])[0]
+    if rank not in list(Rank):
+        expected = ", ".join(known.value for known in Rank)
+        message = f"{rank!r} is unknown, expected one of {expected}"
+        return Err(
+            create_invalid([Problem(object="traffic", field="rank", message=message)])
+        )
+    labels = {}
+    for pair in fields.get("label", []):
+        key, separator, value = pair.partition("=")
+        if not separator:
+            message = f"{pair!r}: expected KEY=VALUE"
+            return Err(
+                create_invalid(
+                    [Problem(object="traffic", field="label", message=message)]
+                )
+            )
+        labels[key] = value
+    return Ok(
+        Traffic(
+            caller=fields.get("caller", [""])[0],
+            service=fields.get("service", [""])[0],
+            rank=Rank(rank),
+            labels=labels,
+        )
+    )
+
+
+def create_outcome(change: Change, outcome: Outcome) -> Response:
+    """Returns the answer to a proposed change."""
+    match outcome:
+        case Accepted(generation=generation, warnings=warnings):
+            return web.create_json(
+                status=200,
+                body={
+                    "generation": generation,
+                    "change_id": change.change_id,
+                    "warnings": describe_problems(warnings),
+                },
+            )
+        case Conflict(generation=generation, message=message):
+            return create_error(
+                409,
+                code="conflict",
+                message=message,
+                run_state=RunState.NOT_RUN,
+                generation=generation,
+                theirs=outcome.theirs,
+                yours=outcome.yours,
+            )
+        case Invalid(problems=problems):
+            return create_invalid(problems)
+        case Unavailable(run_state=run_state, message=message):
+            return create_error(
+                503, code="platform_unavailable", message=message, run_state=run_state
+            )
+
+
+def create_invalid(problems: Iterable[Problem]) -> Response:
+    """Returns the 422 that lists what is wrong with a request."""
+    listed = describe_problems(problems)
+    count = len(listed)
+    return create_error(
+        422,
+        code="invalid",
+        message=f"{count} {'problem' if count == 1 else 'problems'}",
+        run_state=RunState.NOT_RUN,
+        problems=listed,
+    )
+
+
+def create_error(
+    status: int, *, code: str, message: str, run_state: RunState, **fields: object
+) -> Response:
+    """Returns a typed error with further fields."""
+    error = {"code": code, "message": message, "run_state": run_state.value, **fields}
+    return web.create_json(status=status, body={"error": error})
+
+
+def describe_problems(problems: Iterable[Problem]) -> list[dict]:
+    """Returns the JSON form of problems or warnings."""
+    return [dataclasses.asdict(problem) for problem in problems]
+
+
+def describe_configuration(configuration: Configuration) -> dict:
+    """Returns the JSON form of the configuration in force."""
+    return encode_document(configuration)
+
+
+def describe_fleet(fleet: FleetStatus) -> dict:
+    """Returns the JSON form of the fleet's status."""
+    return {
+        "instances": [fleet.instances[name] for name in sorted(fleet.instances)],
+        "silent": list(fleet.silent),
+    }
+
+
+def describe_explanation(found: Explanation) -> dict:
+    """Returns the JSON form of an explanation."""
+    route = found.route
+    return {
+        "generation": found.generation,
+        "traffic": dataclasses.asdict(found.traffic),
+        "matched": [dataclasses.asdict(selector) for selector in found.matched],
+        "selector": route.selector if route else None,
+        "reason": found.reason,
+        "index": route.index if route else None,
+        "groups": [group.name for group in route.groups] if route else [],
+        "upstreams": [dataclasses.asdict(upstream) for upstream in found.upstreams],
+    }
--- a/packages/gooseberrymux/src/gooseberrymux/configuration.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration.py
@@ -1,4 +1,4 @@
-"""Groups, selectors and drains: the model that operators edit, and its checks."""
+"""The configuration in force on this instance, and changes to it."""
 
 import dataclasses
 import threading
@@ -6,84 +6,36 @@
 import pydantic
 
 from gooseberrymux import journal
+from gooseberrymux.configuration_model import (
+    Configuration,
+    ConfigurationError,
+    Drain,
+    Group,
+    Selector,
+    decode_configuration,
+)
 from gooseberrymux.documents import DocumentChanged, Documents
-from gooseberrymux.errors import UserError
+from gooseberrymux.edits import Change, Outcome, describe_outcome
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.records import Rank
+from gooseberrymux.platform import Platform
+from gooseberrymux.proposals import CONFIGURATION_NAME, Proposal
+from gooseberrymux.records import UpstreamRecord
 
-CONFIGURATION_NAME = "configuration/current"
-LENIENT = pydantic.ConfigDict(extra="forbid")
+__all__ = [
+    "CONFIGURATION_NAME",
+    "Configuration",
+    "ConfigurationChanged",
+    "ConfigurationError",
+    "ConfigurationService",
+    "Drain",
+    "Group",
+    "Selector",
+    "decode_configuration",
+]
 
+UPSTREAMS_NAME = "instances"
 
-class ConfigurationError(UserError):
-    """A configuration is refused; the message names object and field."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Group:
-    """A labelled group of upstreams.
-
-    Attributes:
-        name: Unique name.
-        index: The index that its upstreams serve.
-        match: Labels that an upstream must have to belong to it.
-        labels: Labels of the group itself.
-    """
-
-    __pydantic_config__ = LENIENT
-
-    name: str
-    index: str
-    match: dict[str, str]
-    labels: dict[str, str] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Selector:
-    """Says which traffic, of which rank, may reach which groups.
-
-    Attributes:
-        name: Unique name.
-        priority: The highest among the selectors that match wins.
-        groups: Names of the groups, all with the same index.
-        callers: Callers it matches; empty for all.
-        services: Services it matches; empty for all.
-        ranks: Ranks it matches; empty for all.
-        labels: Traffic labels that must be there.
-    """
-
-    __pydantic_config__ = LENIENT
-
-    name: str
-    priority: int
-    groups: list[str]
-    callers: list[str] = dataclasses.field(default_factory=list)
-    services: list[str] = dataclasses.field(default_factory=list)
-    ranks: list[Rank] = dataclasses.field(default_factory=list)
-    labels: dict[str, str] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Drain:
-    """An operator's wish that an upstream gets no new work."""
-
-    __pydantic_config__ = LENIENT
-
-    upstream: str
-    reason: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Configuration:
-    """One generation of the configuration."""
-
-    __pydantic_config__ = LENIENT
-
-    generation: int
-    change_id: str
-    groups: list[Group] = dataclasses.field(default_factory=list)
-    selectors: list[Selector] = dataclasses.field(default_factory=list)
-    drains: list[Drain] = dataclasses.field(default_factory=list)
+_upstreams = pydantic.TypeAdapter(list[UpstreamRecord])
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -93,64 +45,105 @@
     configuration: Configuration
 
 
-@service("configuration", requires=("documents",))
+@service("configuration", requires=("documents", "platform"))
 class ConfigurationService:
-    """Holds the configuration in force on this instance."""
+    """Holds the configuration in force on this instance and proposes changes."""
 
-    __slots__ = ("_kernel", "_documents", "_current", "_lock", "last_problem")
+    __slots__ = (
+        "_kernel",
+        "_documents",
+        "_platform",
+        "_current",
+        "_outcomes",
+        "_lock",
+    )
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._documents = kernel.find("documents", Documents)
+        self._platform = kernel.find("platform", Platform)
         self._current: Configuration | None = None
+        self._outcomes: dict[str, int] = {}
         self._lock = threading.Lock()
-        self.last_problem: str | None = None
+        self._documents.register_check(CONFIGURATION_NAME, check_document)
         kernel.subscribe(DocumentChanged, self._handle_document)
 
     def start(self) -> None:
         """Nothing to start: the configuration arrives as a document."""
 
     def drain(self, deadline_ms: float) -> None:
-        """Nothing to drain."""
+        """Nothing to drain: the administration API waits for its requests."""
 
     def stop(self) -> None:
         """Nothing to stop."""
 
+    def describe(self) -> dict:
+        """Returns the generation in force and the outcomes of proposals here."""
+        current = self._current
+        with self._lock:
+            outcomes = dict(self._outcomes)
+        return {
+            "generation": current.generation if current else None,
+            "change_id": current.change_id if current else None,
+            "proposals": outcomes,
+        }
+
     def get_current(self) -> Configuration | None:
         """Returns the configuration in force, or None before the first."""
         return self._current
 
+    def propose(self, change: Change) -> Outcome:
+        """Checks a change, writes it and spreads it; blocks until that is settled.
+
+        Returns:
+            `Accepted` only if the change is known to have taken effect.
+        """
+        outcome = Proposal(
+            change=change,
+            platform=self._platform,
+            documents=self._documents,
+            upstreams=self._list_upstreams(),
+            clock=self._kernel.clock,
+        ).run()
+        with self._lock:
+            name = type(outcome).__name__.lower()
+            self._outcomes[name] = self._outcomes.get(name, 0) + 1
+        journal.record_event(
+            "configuration.proposed",
+            change_id=change.change_id,
+            operator=change.operator,
+            outcome=name,
+            detail=describe_outcome(outcome),
+        )
+        return outcome
+
+    def _list_upstreams(self) -> tuple[UpstreamRecord, ...]:
+        """Returns the platform's list, or nothing if it does not decode.
+
+        It is read as a document because the inventory depends on this service's model.
+        """
+        document = self._documents.get(UPSTREAMS_NAME)
+        if document is None:
+            return ()
+        try:
+            return tuple(_upstreams.validate_python(document.body.get("upstreams", [])))
+        except pydantic.ValidationError:
+            # The inventory logs the fault; the checks that need the list are left out.
+            return ()
+
     def _handle_document(self, event: DocumentChanged) -> None:
         if event.name != CONFIGURATION_NAME:
             return
-        try:
-            decoded = decode_configuration(event.body)
-        except ConfigurationError as error:
-            # The last good configuration stays in force.
-            self.last_problem = str(error)
-            journal.record_fault(
-                step="configuration.decode", peer="platform", error=error
-            )
-            return
-        with self._lock:
-            if self._current and decoded.generation <= self._current.generation:
-                return
-            self._current = decoded
-            self.last_problem = None
+        # It has passed `check_document` before it was put in force.
+        decoded = decode_configuration(event.body)
+        self._current = decoded
         self._kernel.publish(ConfigurationChanged(configuration=decoded))
 
 
-def decode_configuration(body: dict) -> Configuration:
-    """Returns the configuration that a document holds.
-
-    Raises:
-        ConfigurationError: A field is missing, unknown or of the wrong type.
-    """
+def check_document(body: dict) -> str | None:
+    """Returns why a document is no configuration, or None."""
     try:
-        return pydantic.TypeAdapter(Configuration).validate_python(body)
-    except pydantic.ValidationError as error:
-        problem = error.errors()[0]
-        place = ".".join(str(part) for part in problem["loc"])
-        raise ConfigurationError(
-            step="configuration.decode", message=f"{place}: {problem['msg']}"
-        ) from error
+        decode_configuration(body)
+    except ConfigurationError as error:
+        return error.message
+    return None
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/document_table.py
@@ -0,0 +1,298 @@
+"""Which copy of a document is in force, and what two instances send each other.
+
+Copies are ordered by generation and then by content hash. Every instance that has
+seen the same copies holds the same one, whatever the order they arrived in.
+"""
+
+import dataclasses
+import hashlib
+import json
+import math
+import random
+import threading
+from collections.abc import Callable, Sequence
+
+from gooseberrymux.messages import DocumentBody, DocumentDigest, DocumentOffer
+
+# Digests in one offer: about 100 bytes each, so an exchange stays under 7 KB.
+OFFER_LIMIT = 64
+# Bodies sent for one offer or request; a frame between instances holds 4 MB.
+BODIES_LIMIT_BYTES = 1_000_000
+# Fleets up to this size are reached by one push; today's have 7 instances.
+DIRECT_PEERS = 8
+PUSH_FANOUT = 4
+EXCHANGE_PEERS = 2
+PROBLEM_LIMIT = 64
+GENERATION_LIMIT = 2**53
+NESTING_LIMIT = 32
+
+Check = Callable[[dict], str | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """The copy is in force now; `fork` names the other content of its generation."""
+
+    fork: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outdated:
+    """The copy in force is the same or a higher one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Forked:
+    """The copy in force has the same generation and other content, and stays."""
+
+    fork: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Rejected:
+    """The copy can't be used; the one in force stays."""
+
+    reason: str
+
+
+Verdict = Applied | Outdated | Forked | Rejected
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Comparison:
+    """What an instance does about a peer's offer."""
+
+    wanted: list[str]
+    sent: list[DocumentBody]
+    forks: list[str]
+
+
+class DocumentTable:
+    """The documents in force, the checks that they pass and the known problems."""
+
+    __slots__ = ("_documents", "_problems", "_checks", "_cursor", "_lock")
+
+    def __init__(self):
+        self._documents: dict[str, DocumentBody] = {}
+        self._problems: dict[str, str] = {}
+        self._checks: dict[str, Check] = {}
+        self._cursor = 0
+        self._lock = threading.Lock()
+
+    def register_check(self, prefix: str, check: Check) -> None:
+        """Sets the check that documents under a prefix must pass to be in force.
+
+        Args:
+            prefix: Start of the documents' names.
+            check: Returns what is wrong with a body, or None.
+        """
+        self._checks[prefix] = check
+
+    def get(self, name: str) -> DocumentBody | None:
+        """Returns the document in force, or None."""
+        return self._documents.get(name)
+
+    def list_documents(self) -> list[DocumentBody]:
+        """Returns all documents in force, by name."""
+        with self._lock:
+            return [self._documents[name] for name in sorted(self._documents)]
+
+    def list_problems(self) -> dict[str, str]:
+        """Returns the open problem of each document that has one."""
+        with self._lock:
+            return dict(self._problems)
+
+    def record_problem(self, name: str, problem: str) -> bool:
+        """Keeps a problem until its document gets a higher generation.
+
+        Returns:
+            Whether it is new, so that a repeated one is logged once.
+        """
+        with self._lock:
+            known = self._problems.get(name)
+            if known == problem or (known is None and self._is_full()):
+                return False
+            self._problems[name] = problem
+            return True
+
+    def resolve_problem(self, document: DocumentBody) -> None:
+        """Drops the problem of a document if this copy is the one in force."""
+        with self._lock:
+            known = self._documents.get(document.name)
+            if known and order_copy(known) == order_copy(document):
+                self._problems.pop(document.name, None)
+
+    def take(self, document: DocumentBody) -> Verdict:
+        """Puts a copy in force if it is higher than the known one."""
+        known = self._documents.get(document.name)
+        if known and order_copy(document) <= order_copy(known):
+            return compare_lower(document, known)
+        reason = self._find_fault(document)
+        if reason:
+            return Rejected(reason=reason)
+        with self._lock:
+            known = self._documents.get(document.name)
+            if known and order_copy(document) <= order_copy(known):
+                return compare_lower(document, known)
+            self._documents[document.name] = document
+            if known and known.generation == document.generation:
+                return Applied(fork=known.hash)
+            self._problems.pop(document.name, None)
+            return Applied()
+
+    def create_offer(self) -> DocumentOffer:
+        """Returns an offer of bounded size; successive ones cover all documents."""
+        documents = self.list_documents()
+        complete = len(documents) <= OFFER_LIMIT
+        if not complete:
+            start = self._cursor % len(documents)
+            self._cursor = start + OFFER_LIMIT
+            documents = (documents + documents)[start : start + OFFER_LIMIT]
+        return DocumentOffer(
+            digests=[
+                DocumentDigest(name=doc.name, generation=doc.generation, hash=doc.hash)
+                for doc in documents
+            ],
+            complete=complete,
+        )
+
+    def compare_offer(self, offer: DocumentOffer) -> Comparison:
+        """Returns what to ask for and what to send on a peer's offer."""
+        wanted, lower, forks = [], [], []
+        for digest in offer.digests:
+            known = self._documents.get(digest.name)
+            if known is None or order_copy(digest) > order_copy(known):
+                wanted.append(digest.name)
+            elif order_copy(digest) < order_copy(known):
+                lower.append(known)
+            if known and is_fork(digest, known):
+                forks.append(digest.name)
+        if offer.complete:
+            offered = {digest.name for digest in offer.digests}
+            lower += [doc for doc in self.list_documents() if doc.name not in offered]
+        return Comparison(wanted=wanted, sent=limit_bodies(lower), forks=forks)
+
+    def _is_full(self) -> bool:
+        return len(self._problems) >= PROBLEM_LIMIT
+
+    def _find_fault(self, document: DocumentBody) -> str | None:
+        if not 0 < document.generation < GENERATION_LIMIT:
+            return f"generation {document.generation} is out of range"
+        fault = find_unportable(document.body, depth=0)
+        if fault:
+            return fault
+        if hash_body(document.body) != document.hash:
+            return "content does not match its hash"
+        for prefix, check in self._checks.items():
+            if document.name.startswith(prefix):
+                return check(document.body)
+        return None
+
+
+def order_copy(copy: DocumentBody | DocumentDigest) -> tuple[int, str]:
+    """Returns the key by which copies of one document are ordered.
+
+    Two contents of one generation are a fault outside this program, such as an object
+    rewritten in place. The greater hash wins: any rule that is a total order on the
+    content lets all instances agree without a message; a rule by time of arrival or
+    by source would leave them divided until the next change.
+    """
+    return (copy.generation, copy.hash)
+
+
+def is_fork(one: DocumentBody | DocumentDigest, other: DocumentBody) -> bool:
+    """Returns whether two copies have the same generation and other content."""
+    return one.generation == other.generation and one.hash != other.hash
+
+
+def compare_lower(document: DocumentBody, known: DocumentBody) -> Verdict:
+    """Returns the verdict on a copy that does not replace the known one."""
+    if is_fork(document, known):
+        return Forked(fork=document.hash)
+    return Outdated()
+
+
+def limit_bodies(documents: Sequence[DocumentBody]) -> list[DocumentBody]:
+    """Returns as many documents as fit into one reply, at least one if any."""
+    chosen: list[DocumentBody] = []
+    size_bytes = 0
+    for document in documents:
+        size_bytes += measure_body(document.body)
+        if chosen and size_bytes > BODIES_LIMIT_BYTES:
+            break
+        chosen.append(document)
+    return chosen
+
+
+def choose_push_targets(
+    *, peers: Sequence[str], source: str, generator: random.Random
+) -> list[str]:
+    """Returns the peers to push a new document to.
+
+    Each receiver pushes on in turn, so that a change spreads in a logarithmic number
+    of rounds; the periodic exchange reaches the few that random choice leaves out.
+    """
+    others = [peer for peer in peers if peer != source]
+    if len(others) <= DIRECT_PEERS:
+        return others
+    return generator.sample(others, PUSH_FANOUT)
+
+
+def choose_exchange_targets(
+    *, peers: Sequence[str], starting: bool, generator: random.Random
+) -> list[str]:
+    """Returns the peers of one periodic exchange.
+
+    An instance that still lacks its configuration asks more of them, so that one peer
+    that is behind does not decide what it starts with.
+    """
+    count = DIRECT_PEERS if starting else EXCHANGE_PEERS
+    return generator.sample(list(peers), min(count, len(peers)))
+
+
+def find_unportable(value: object, *, depth: int) -> str | None:
+    """Returns why a value can't travel between instances, or None.
+
+    JSON allows integers beyond 64 bits and unpaired surrogates; the peer format does
+    not, and a body that can't be encoded would fail in the thread of every link.
+    """
+    if depth > NESTING_LIMIT:
+        return "nested too deeply"
+    match value:
+        case None | bool():
+            return None
+        case int():
+            return None if -(2**63) <= value < 2**63 else "integer beyond 64 bits"
+        case float():
+            return None if math.isfinite(value) else "number is not finite"
+        case str():
+            return None if is_text(value) else "text with an unpaired surrogate"
+        case list():
+            parts = value
+        case dict():
+            if not all(isinstance(key, str) and is_text(key) for key in value):
+                return "key is not a text"
+            parts = value.values()
+        case _:
+            return f"value of type {type(value).__name__}"
+    for part in parts:
+        fault = find_unportable(part, depth=depth + 1)
+        if fault:
+            return fault
+    return None
+
+
+def is_text(value: str) -> bool:
+    """Returns whether a string can be encoded as UTF-8."""
+    return value.isascii() or not any("\ud800" <= char <= "\udfff" for char in value)
+
+
+def hash_body(body: dict) -> str:
+    """Returns the content hash of a document's body."""
+    text = json.dumps(body, sort_keys=True, separators=(",", ":"))
+    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
+
+
+def measure_body(body: dict) -> int:
+    """Returns the size of a body in bytes, as compact JSON."""
+    return len(json.dumps(body, separators=(",", ":")))
--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -5,16 +5,29 @@
 """
 
 import dataclasses
-import hashlib
-import json
+import random
 import threading
 
 from result import Err, Ok
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.backoff import Backoff
+from gooseberrymux.document_table import (
+    Applied,
+    Check,
+    DocumentTable,
+    Forked,
+    Outdated,
+    Rejected,
+    choose_exchange_targets,
+    choose_push_targets,
+    hash_body,
+    limit_bodies,
+    measure_body,
+)
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.membership import Membership
+from gooseberrymux.membership import MemberChanged, Membership
 from gooseberrymux.messages import (
     DocumentBody,
     DocumentDigest,
@@ -23,16 +36,27 @@
 )
 from gooseberrymux.ownership import rank_members
 from gooseberrymux.peers import Peers
-from gooseberrymux.platform import Platform, PlatformObject
+from gooseberrymux.platform import Platform, PlatformObject, WatchedChanges
 from gooseberrymux.records import InstanceIdentity
 
 WATCHED_PREFIXES = ("configuration/", "index/", "instances")
+# Without this document an instance is not ready, and asks its peers more often.
+FIRST_DOCUMENT = "configuration/current"
 WATCH_KEY = "documents/watch"
-RETRY_MS = 250
+# Idle watches before the whole prefix is read again: a platform that restarted with
+# a higher revision gives no other sign of the changes that a watch has missed.
+RELIST_AFTER_IDLE = 6
+# Larger documents are offered by digest, so that a peer that is pushed the same change
+# by several others receives the body once.
+PUSH_BODY_LIMIT_BYTES = 8_192
+STARTING_PERIOD_DIVISOR = 5
+# Members choose the watchers anew when one changes; this only bounds a missed event,
+# since each check hashes the whole member list.
+WATCHER_CHECK_MS = 10_000
 
 
 class DocumentError(MuxError):
-    """A document does not decode or its hash is wrong."""
+    """A copy of a document can't be used, or two copies of one generation differ."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,9 +77,12 @@
         "_platform",
         "_peers",
         "_membership",
-        "_documents",
-        "_lock",
+        "_table",
+        "_applying",
         "_changed",
+        "_member_changes",
+        "_watching",
+        "_random",
         "_stopping",
     )
 
@@ -64,13 +91,19 @@
         self._platform = kernel.find("platform", Platform)
         self._peers = kernel.find("peers", Peers)
         self._membership = kernel.find("membership", Membership)
-        self._documents: dict[str, DocumentBody] = {}
-        self._lock = threading.Lock()
-        self._changed = threading.Condition(self._lock)
+        self._table = DocumentTable()
+        # Held while a document is put in force and announced, so that handlers see
+        # generations in rising order; a handler may put a document in force itself.
+        self._applying = threading.RLock()
+        self._changed = threading.Condition()
+        self._member_changes = 0
+        self._watching: dict[str, bool] = {}
+        self._random = random.Random()
         self._stopping = False
         self._peers.register(DocumentOffer, self._handle_offer)
         self._peers.register(DocumentRequest, self._handle_request)
         self._peers.register(DocumentBody, self._handle_body)
+        kernel.subscribe(MemberChanged, self._handle_member)
 
     def start(self) -> None:
         """Starts one thread for each watched prefix and one for the exchange."""
@@ -82,7 +115,7 @@
         self._kernel.spawn(name="documents.exchange", target=self._exchange)
 
     def drain(self, deadline_ms: float) -> None:
-        """Nothing to drain."""
+        """Nothing to drain: copies are served until the links close."""
 
     def stop(self) -> None:
         """Wakes the threads so that they end."""
@@ -90,35 +123,84 @@
             self._stopping = True
             self._changed.notify_all()
 
+    def describe(self) -> dict:
+        """Returns the documents in force, the open problems and what is watched."""
+        return {
+            "documents": {
+                doc.name: {"generation": doc.generation, "hash": doc.hash}
+                for doc in self._table.list_documents()
+            },
+            "problems": self._table.list_problems(),
+            "watching": sorted(
+                prefix for prefix, active in self._watching.items() if active
+            ),
+        }
+
+    def register_check(self, prefix: str, check: Check) -> None:
+        """Sets the check that documents under a prefix must pass to be in force."""
+        self._table.register_check(prefix, check)
+
     def get(self, name: str) -> DocumentBody | None:
         """Returns the document in force, or None."""
-        return self._documents.get(name)
+        return self._table.get(name)
 
     def list_digests(self) -> list[DocumentDigest]:
         """Returns name, generation and hash of each document in force."""
-        with self._lock:
-            return [
-                DocumentDigest(name=doc.name, generation=doc.generation, hash=doc.hash)
-                for doc in self._documents.values()
-            ]
+        return [
+            DocumentDigest(name=doc.name, generation=doc.generation, hash=doc.hash)
+            for doc in self._table.list_documents()
+        ]
+
+    def offer_body(self, *, name: str, body: dict, source: str) -> bool:
+        """Puts the body of a platform object in force; see `offer`."""
+        match body.get("generation"):
+            case bool():
+                pass
+            case int(generation):
+                document = DocumentBody(
+                    name=name, generation=generation, hash=hash_body(body), body=body
+                )
+                return self.offer(document, source=source)
+        self._report(name, "no generation number", source)
+        return False
 
     def offer(self, document: DocumentBody, *, source: str) -> bool:
         """Puts a document in force if its generation is higher than the known one.
 
+        Args:
+            document: The copy.
+            source: The peer that sent it, `platform`, or this instance.
+
         Returns:
-            Whether it was put in force.
+            Whether it was put in force; it was then also pushed to peers.
         """
-        with self._changed:
-            known = self._documents.get(document.name)
-            if known and document.generation <= known.generation:
-                return False
-            self._documents[document.name] = document
-            self._changed.notify_all()
+        with self._applying:
+            match self._table.take(document):
+                case Outdated():
+                    if source == "platform":
+                        self._table.resolve_problem(document)
+                    return False
+                case Forked(fork=other):
+                    self._report_fork(document, other, source)
+                    return False
+                case Rejected(reason=reason):
+                    problem = f"generation {document.generation}: {reason}"
+                    self._report(document.name, problem, source)
+                    return False
+                case Applied(fork=other):
+                    if other:
+                        self._report_fork(document, other, source)
+                    self._announce(document, source)
+        self._push(document, source)
+        return True
+
+    def _announce(self, document: DocumentBody, source: str) -> None:
         metrics.generation.set({"document": document.name}, document.generation)
         journal.record_event(
             "documents.applied",
             document=document.name,
             generation=document.generation,
+            hash=document.hash,
             source=source,
         )
         self._kernel.publish(
@@ -126,92 +208,161 @@
                 name=document.name, generation=document.generation, body=document.body
             )
         )
-        for name in self._peers.list_connected():
-            if name != source:
-                self._peers.send(name, document)
-        return True
+
+    def _push(self, document: DocumentBody, source: str) -> None:
+        peers = self._peers.list_connected()
+        targets = choose_push_targets(
+            peers=peers, source=source, generator=self._random
+        )
+        message: DocumentBody | DocumentOffer = document
+        everyone = len(targets) >= len(peers) - 1
+        if not everyone and measure_body(document.body) > PUSH_BODY_LIMIT_BYTES:
+            message = DocumentOffer(
+                digests=[
+                    DocumentDigest(
+                        name=document.name,
+                        generation=document.generation,
+                        hash=document.hash,
+                    )
+                ]
+            )
+        for name in targets:
+            # A full queue drops it; the periodic exchange makes up for that.
+            self._peers.send(name, message)
+
+    def _report_fork(self, document: DocumentBody, other: str, source: str) -> None:
+        hashes = " and ".join(sorted((document.hash, other)))
+        problem = f"generation {document.generation} has two contents: {hashes}"
+        self._report(document.name, problem, source)
+
+    def _report(self, name: str, problem: str, source: str) -> None:
+        if not self._table.record_problem(name, problem):
+            return
+        metrics.faults_total.inc({"step": "documents.take"})
+        error = DocumentError(
+            step="documents.take", peer=source, message=f"{name}: {problem}"
+        )
+        journal.record_fault(step="documents.take", peer=source, error=error)
 
     def _watch(self, prefix: str) -> None:
+        backoff = Backoff(generator=self._random)
         revision = 0
+        idle = 0
         while not self._stopping:
-            if not self._is_watcher() and revision:
-                self._pause(self._kernel.settings.membership.exchange_period_ms)
+            if not self._must_read(prefix, first=revision == 0):
+                self._watching[prefix] = False
+                # What this instance misses until it watches again is read anew.
+                revision = -1
+                self._pause(WATCHER_CHECK_MS, wake_on_members=True)
                 continue
-            match self._platform.watch(prefix=prefix, revision=revision):
+            self._watching[prefix] = True
+            started_ms = self._kernel.clock.now_ms()
+            match self._platform.watch(prefix=prefix, revision=max(0, revision)):
+                case Ok(changes) if changes.revision >= revision:
+                    self._take_changes(changes)
+                    advanced = changes.revision > revision
+                    idle = 0 if advanced else idle + 1
+                    revision = changes.revision if idle < RELIST_AFTER_IDLE else 0
+                    if advanced or self._was_long(started_ms):
+                        backoff.reset()
+                        continue
                 case Ok(changes):
-                    revision = changes.revision
-                    for found in changes.objects:
-                        self._take(found)
+                    journal.record_event(
+                        "documents.revision_went_back",
+                        prefix=prefix,
+                        known=revision,
+                        found=changes.revision,
+                    )
+                    revision = 0
                 case Err(error):
+                    # The platform may have restarted, so the position counts no more.
+                    revision = 0
                     journal.record_fault(
                         step="documents.watch", peer="platform", error=error
                     )
-                    self._pause(RETRY_MS)
+            # Also after an empty answer that came at once: no thread may spin.
+            self._pause(backoff.draw_ms())
+
+    def _must_read(self, prefix: str, *, first: bool) -> bool:
+        """Returns whether this instance reads a prefix from the platform.
+
+        An instance that is no watcher reads once when it starts, unless its peers
+        have already sent the documents.
+        """
+        if self._is_watcher():
+            return True
+        return first and not any(
+            doc.name.startswith(prefix) for doc in self._table.list_documents()
+        )
 
     def _is_watcher(self) -> bool:
-        members = self._membership.list_live()
         watchers = rank_members(
             key=WATCH_KEY,
-            members=members,
+            members=self._membership.list_live(),
             count=self._kernel.settings.platform.watchers,
         )
         return self._peers.identity.name in {member.name for member in watchers}
 
+    def _was_long(self, started_ms: float) -> bool:
+        waited_ms = self._kernel.clock.now_ms() - started_ms
+        return waited_ms >= self._kernel.settings.platform.watch_timeout_ms / 2
+
+    def _take_changes(self, changes: WatchedChanges) -> None:
+        for found in changes.objects:
+            self._take(found)
+        for malformed in changes.malformed:
+            self._report(malformed.name, malformed.message, "platform")
+
     def _take(self, found: PlatformObject) -> None:
-        generation = found.value.get("generation")
-        if not isinstance(generation, int):
-            journal.record_event(
-                "documents.rejected", document=found.name, reason="no generation"
-            )
-            return
-        self.offer(
-            DocumentBody(
-                name=found.name,
-                generation=generation,
-                hash=hash_body(found.value),
-                body=found.value,
-            ),
-            source="platform",
-        )
+        self.offer_body(name=found.name, body=found.value, source="platform")
 
     def _exchange(self) -> None:
         while not self._stopping:
-            self._pause(self._kernel.settings.membership.exchange_period_ms)
-            offer = DocumentOffer(digests=self.list_digests())
-            for name in self._peers.list_connected():
+            starting = self._table.get(FIRST_DOCUMENT) is None
+            peers = self._peers.list_connected()
+            offer = self._table.create_offer()
+            for name in choose_exchange_targets(
+                peers=peers, starting=starting, generator=self._random
+            ):
                 self._peers.send(name, offer)
+            period_ms = self._kernel.settings.membership.exchange_period_ms
+            if starting:
+                self._pause(period_ms / STARTING_PERIOD_DIVISOR, wake_on_members=True)
+            else:
+                # Jitter keeps the exchanges of a fleet apart.
+                self._pause(period_ms * self._random.uniform(0.75, 1.25))
 
-    def _pause(self, duration_ms: float) -> None:
+    def _pause(self, duration_ms: float, *, wake_on_members: bool = False) -> None:
+        until_ms = self._kernel.clock.now_ms() + duration_ms
         with self._changed:
-            if not self._stopping:
-                self._kernel.clock.wait(self._changed, duration_ms)
+            seen = self._member_changes
+            while not self._stopping:
+                left_ms = until_ms - self._kernel.clock.now_ms()
+                if left_ms <= 0 or (wake_on_members and self._member_changes != seen):
+                    return
+                self._kernel.clock.wait(self._changed, left_ms)
+
+    def _handle_member(self, event: MemberChanged) -> None:
+        with self._changed:
+            self._member_changes += 1
+            self._changed.notify_all()
 
     def _handle_offer(self, sender: InstanceIdentity, offer: DocumentOffer) -> None:
-        wanted = []
-        for digest in offer.digests:
-            known = self._documents.get(digest.name)
-            if known is None or known.generation < digest.generation:
-                wanted.append(digest.name)
-        if wanted:
-            self._peers.send(sender.name, DocumentRequest(names=wanted))
+        comparison = self._table.compare_offer(offer)
+        for name in comparison.forks:
+            theirs = next(item for item in offer.digests if item.name == name)
+            known = self._table.get(name)
+            if known and known.generation == theirs.generation:
+                self._report_fork(known, theirs.hash, sender.name)
+        if comparison.wanted:
+            self._peers.send(sender.name, DocumentRequest(names=comparison.wanted))
+        for document in comparison.sent:
+            self._peers.send(sender.name, document)
 
     def _handle_request(self, sender: InstanceIdentity, asked: DocumentRequest) -> None:
-        for name in asked.names:
-            document = self._documents.get(name)
-            if document:
-                self._peers.send(sender.name, document)
+        known = [self._table.get(name) for name in asked.names]
+        for document in limit_bodies([doc for doc in known if doc]):
+            self._peers.send(sender.name, document)
 
     def _handle_body(self, sender: InstanceIdentity, document: DocumentBody) -> None:
-        if hash_body(document.body) != document.hash:
-            raise DocumentError(
-                step="documents.receive",
-                peer=sender.name,
-                message=f"{document.name}: content does not match its hash",
-            )
         self.offer(document, source=sender.name)
-
-
-def hash_body(body: dict) -> str:
-    """Returns the content hash of a document's body."""
-    text = json.dumps(body, sort_keys=True, separators=(",", ":"))
-    return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
--- a/packages/gooseberrymux/src/gooseberrymux/kernel.py
+++ b/packages/gooseberrymux/src/gooseberrymux/kernel.py
@@ -5,6 +5,7 @@
 """
 
 import importlib
+import inspect
 import threading
 from collections.abc import Callable
 from typing import Any, ClassVar, Protocol, TypeVar
@@ -203,12 +204,16 @@
                 self._mark_failed(f"handler of {type(event).__name__}: {error}")
 
     def describe(self) -> dict[str, dict]:
-        """Returns the status of each service that has a `describe` method."""
-        return {
-            name: self._services[name].describe()
-            for name in self._order
-            if hasattr(self._services[name], "describe")
-        }
+        """Returns the status of each service that has a `describe` method.
+
+        One that takes an argument is a look-up and not a status.
+        """
+        described = {}
+        for name in self._order:
+            describe = getattr(self._services[name], "describe", None)
+            if describe is not None and not inspect.signature(describe).parameters:
+                described[name] = describe()
+        return described
 
     @property
     def failure(self) -> str | None:
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -168,9 +168,15 @@
 
 @_message
 class DocumentOffer:
-    """The documents that the sender has; the receiver asks for newer ones."""
+    """Documents that the sender has; the receiver asks for newer ones.
+
+    Attributes:
+        digests: Some or all of the sender's documents.
+        complete: Whether they are all; the receiver then also sends what is missing.
+    """
 
     digests: list[DocumentDigest]
+    complete: bool = False
 
 
 @_message
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -22,6 +22,10 @@
 queue_length = Gauge(
     "gooseberrymux_queue_length", "Queued sub-requests by upstream and rank."
 )
+platform_calls_total = Counter(
+    "gooseberrymux_platform_calls_total",
+    "Calls to the platform by kind and outcome; a watch counts as one.",
+)
 generation = Gauge(
     "gooseberrymux_generation", "Generation in force of each replicated document."
 )
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -54,6 +54,7 @@
 
     url: str
     timeout_ms: int = 1_000
+    calls_in_flight: int = 16
     watchers: int = 2
     watch_timeout_ms: int = 10_000
 
