--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -318,13 +318,7 @@
 
     def _exchange(self) -> None:
         while not self._stopping:
-            starting = self._table.get(FIRST_DOCUMENT) is None
-            peers = self._peers.list_connected()
-            offer = self._table.create_offer()
-            for name in choose_exchange_targets(
-                peers=peers, starting=starting, generator=self._random
-            ):
-                self._peers.send(name, offer)
+            starting = self._send_offers()
             period_ms = self._kernel.settings.membership.exchange_period_ms
             if starting:
                 self._pause(period_ms / STARTING_PERIOD_DIVISOR, wake_on_members=True)
@@ -332,6 +326,18 @@
                 # Jitter keeps the exchanges of a fleet apart.
                 self._pause(period_ms * self._random.uniform(0.75, 1.25))
 
+    def _send_offers(self) -> bool:
+        """Offers to the peers of one period; returns whether this is a first start."""
+        starting = self._table.get(FIRST_DOCUMENT) is None
+        offer = self._table.create_offer()
+        for name in choose_exchange_targets(
+            peers=self._peers.list_connected(),
+            starting=starting,
+            generator=self._random,
+        ):
+            self._peers.send(name, offer)
+        return starting
+
     def _pause(self, duration_ms: float, *, wake_on_members: bool = False) -> None:
         until_ms = self._kernel.clock.now_ms() + duration_ms
         with self._changed:
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -1,5 +1,7 @@
 """Clock, platform, peers and kernel without sockets, for the control state's tests."""
 
+import dataclasses
+import functools
 import threading
 from collections import deque
 
@@ -22,18 +24,18 @@
     Written,
 )
 from gooseberrymux.records import InstanceIdentity, InstanceRecord, RunState
-from gooseberrymux.settings import parse_settings
+from gooseberrymux.settings import Settings, parse_settings
 
 NAME = "configuration/current"
 SETTINGS = """
 instance:
-  name: {name}
+  name: entry-0
   failure_domain: domain-a
-  callers: {{port: 0}}
-  administration: {{port: 0}}
-  peers: {{port: 0}}
-platform: {{url: "http://127.0.0.1:1"}}
-api: {{operator_tokens: {{token-a: amina, token-b: bruno}}}}
+  callers: {port: 0}
+  administration: {port: 0}
+  peers: {port: 0}
+platform: {url: "http://127.0.0.1:1"}
+api: {operator_tokens: {token-a: amina, token-b: bruno}}
 """
 
 
@@ -210,10 +212,17 @@
 
 
 def create_kernel(name: str = "entry-0") -> Kernel:
-    settings = parse_settings(SETTINGS.format(name=name), source="test")
+    settings = read_settings()
+    instance = dataclasses.replace(settings.instance, name=name)
+    settings = dataclasses.replace(settings, instance=instance)
     return Kernel(settings=settings, clock=InstantClock())
 
 
+@functools.cache
+def read_settings() -> Settings:
+    return parse_settings(SETTINGS, source="test")
+
+
 def create_document(body: dict, *, name: str = NAME) -> DocumentBody:
     return DocumentBody(
         name=name, generation=body["generation"], hash=hash_body(body), body=body
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,322 @@
+"""Copies of platform objects: order, gossip between nodes, the watch."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from result import Err, Ok
+
+from control_fakes import NAME, FixedMembership, Network, create_document, create_kernel
+from gooseberrymux.document_table import (
+    EXCHANGE_PEERS,
+    OFFER_LIMIT,
+    PUSH_FANOUT,
+    Applied,
+    DocumentTable,
+    Forked,
+    Rejected,
+    hash_body,
+)
+from gooseberrymux.documents import DocumentChanged
+from gooseberrymux.membership import MemberChanged
+from gooseberrymux.messages import DocumentBody, DocumentOffer
+from gooseberrymux.platform import (
+    MalformedObject,
+    Platform,
+    PlatformError,
+    PlatformObject,
+    WatchedChanges,
+)
+from gooseberrymux.records import RunState
+
+copies = st.builds(
+    lambda generation, content: create_document(
+        {"generation": generation, "content": content}
+    ),
+    st.integers(1, 4),
+    st.integers(0, 2),
+)
+
+
+@given(st.lists(copies, min_size=1), st.randoms(use_true_random=False))
+def test_any_order_with_repeats_converges_to_the_highest(offered, generator):
+    """Guards against instances that stay divided over two contents."""
+    highest = max(offered, key=lambda copy: (copy.generation, copy.hash))
+    shuffled = offered + generator.choices(offered, k=3)
+    generator.shuffle(shuffled)
+    for order in (offered, shuffled):
+        table = DocumentTable()
+        last = 0
+        for copy in order:
+            table.take(copy)
+            assert table.get(NAME).generation >= last
+            last = table.get(NAME).generation
+        assert table.get(NAME) == highest
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(copies, st.integers(0, 4)), min_size=1, max_size=8))
+def test_exchange_between_nodes_converges(offered):
+    """Guards against copies that one side of an exchange never learns."""
+    network = Network()
+    nodes = [network.add(f"entry-{number}") for number in range(5)]
+    for copy, number in offered:
+        nodes[number].offer(copy, source="test")
+    while network.run_round():
+        pass
+    highest = max((copy for copy, _ in offered), key=lambda c: (c.generation, c.hash))
+    assert all(node.get(NAME) == highest for node in nodes)
+
+
+def test_push_reaches_seven_instances_at_once():
+    network = Network()
+    nodes = [network.add(f"entry-{number}") for number in range(7)]
+    nodes[0].offer(create_document({"generation": 1}), source="proposal")
+    network.run_round()
+    assert all(node.get(NAME) for node in nodes)
+
+
+def test_push_reaches_a_large_fleet_in_logarithmic_rounds_at_bounded_cost():
+    """Guards against one instance that sends a change to the whole fleet."""
+    network = Network()
+    nodes = [network.add(f"entry-{number}") for number in range(100)]
+    for number, node in enumerate(nodes):
+        node._random = random.Random(number)
+    body = {"generation": 1, "text": "x" * 10_000}
+    nodes[0].offer(create_document(body), source="proposal")
+    rounds = 0
+    while network.run_round():
+        rounds += 1
+    reached = sum(node.get(NAME) is not None for node in nodes)
+    assert reached >= 0.9 * len(nodes)
+    # An offer, a request and the body for each hop of the push.
+    assert rounds <= 3 * (2 + 2 * math.log(len(nodes), PUSH_FANOUT))
+    bodies = [
+        message
+        for node in nodes
+        for message in node._peers.sent
+        if isinstance(message, DocumentBody)
+    ]
+    assert len(bodies) <= 2 * len(nodes)
+    # The periodic exchange reaches the rest; each node speaks to two others.
+    for _ in range(6):
+        for node in nodes:
+            before = len(node._peers.sent)
+            if not node._send_offers():
+                assert len(node._peers.sent) - before == EXCHANGE_PEERS
+        while network.run_round():
+            pass
+    assert all(node.get(NAME) for node in nodes)
+
+
+def test_offers_stay_bounded_and_cover_all_documents():
+    table = DocumentTable()
+    for number in range(3 * OFFER_LIMIT):
+        table.take(create_document({"generation": 1}, name=f"index/{number:03d}"))
+    offers = [table.create_offer() for _ in range(3)]
+    assert all(len(offer.digests) == OFFER_LIMIT for offer in offers)
+    assert not any(offer.complete for offer in offers)
+    covered = {digest.name for offer in offers for digest in offer.digests}
+    assert len(covered) == 3 * OFFER_LIMIT
+
+
+def test_new_instance_takes_all_documents_from_its_peers():
+    """Guards against an instance that is replaced while the platform is down."""
+    network = Network()
+    old = network.add("entry-0")
+    old.offer(create_document({"generation": 7}), source="platform")
+    old.offer(create_document({"generation": 2}, name="index/a"), source="platform")
+    new = network.add("entry-1")
+    new._send_offers()
+    while network.run_round():
+        pass
+    assert new.get(NAME).generation == 7
+    assert new.get("index/a").generation == 2
+
+
+def test_lower_generation_is_never_applied_even_from_the_platform():
+    node = Network().add("entry-0")
+    node.offer_body(name=NAME, body={"generation": 5}, source="entry-1")
+    node.offer_body(name=NAME, body={"generation": 4}, source="platform")
+    assert node.get(NAME).generation == 5
+
+
+def test_two_contents_of_one_generation_are_shown_until_the_next():
+    """Guards against a fork that nobody notices."""
+    table = DocumentTable()
+    one, two = sorted(
+        (create_document({"generation": 3, "by": name}) for name in ("a", "b")),
+        key=lambda copy: copy.hash,
+    )
+    table.take(one)
+    assert table.take(two) == Applied(fork=one.hash)
+    assert table.take(one) == Forked(fork=one.hash)
+    node = Network().add("entry-0")
+    node.offer(one, source="platform")
+    node.offer(two, source="entry-1")
+    assert "two contents" in node.describe()["problems"][NAME]
+    node.offer(create_document({"generation": 4}), source="platform")
+    assert node.describe()["problems"] == {}
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        {"generation": 9, "broken": True},
+        {"generation": 2**60},
+        {"generation": "9"},
+        {"generation": True},
+        {},
+        {"generation": 9, "number": 2**64},
+        {"generation": 9, "text": "\ud800"},
+        {"generation": 9, "number": float("inf")},
+    ],
+)
+def test_object_that_can_not_be_used_leaves_the_last_good_one(body):
+    """Guards against one bad object that stops every instance or its links."""
+    network = Network()
+    node, peer = network.add("entry-0"), network.add("entry-1")
+    for known in (node, peer):
+        known.register_check(NAME, lambda found: "bad" if "broken" in found else None)
+    node.offer_body(name=NAME, body={"generation": 8}, source="platform")
+    node.offer_body(name=NAME, body=body, source="platform")
+    network.run_round()
+    assert node.get(NAME).generation == peer.get(NAME).generation == 8
+    assert NAME in node.describe()["problems"]
+    node.offer_body(name=NAME, body={"generation": 8}, source="platform")
+    assert node.describe()["problems"] == {}
+
+
+def test_body_that_does_not_match_its_hash_is_rejected():
+    document = DocumentBody(
+        name=NAME, generation=2, hash=hash_body({"generation": 1}), body={}
+    )
+    assert isinstance(DocumentTable().take(document), Rejected)
+
+
+def test_handlers_see_rising_generations_when_one_offers_another():
+    node = Network().add("entry-0")
+    seen = []
+
+    def handle(event):
+        seen.append(event.generation)
+        if event.generation == 1:
+            node.offer_body(name=NAME, body={"generation": 2}, source="test")
+
+    node._kernel.subscribe(DocumentChanged, handle)
+    node.offer_body(name=NAME, body={"generation": 1}, source="test")
+    node.offer_body(name=NAME, body={"generation": 1}, source="test")
+    assert seen == [1, 2]
+
+
+class ScriptedPlatform(Platform):
+    """Answers watches from a list and stops the documents at its end."""
+
+    __slots__ = ("answers", "asked", "documents")
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.asked: list[int] = []
+
+    def watch(self, *, prefix: str, revision: int):
+        self.asked.append(revision)
+        answer = self.answers.pop(0)
+        if not self.answers:
+            self.documents.stop()
+        return answer
+
+
+def see(revision: int, *generations: int, malformed=()) -> Ok:
+    objects = [
+        PlatformObject(name=NAME, version=revision, value={"generation": generation})
+        for generation in generations
+    ]
+    return Ok(
+        WatchedChanges(revision=revision, objects=objects, malformed=tuple(malformed))
+    )
+
+
+LOST = Err(PlatformError(step="test", message="down", run_state=RunState.NOT_RUN))
+
+
+def watch(*answers):
+    platform = ScriptedPlatform(*answers)
+    node = Network().add("entry-0", platform=platform)
+    platform.documents = node
+    node._watch("configuration/")
+    return platform, node
+
+
+def test_watch_goes_on_from_the_last_revision():
+    platform, node = watch(see(4, 1), see(6, 2), see(6))
+    assert platform.asked == [0, 4, 6]
+    assert node.get(NAME).generation == 2
+
+
+def test_watch_reads_anew_after_an_error_and_when_the_revision_goes_back():
+    """Guards against changes missed while the platform restarted."""
+    platform, node = watch(see(40, 1), LOST, see(3, 2), see(2), see(2, 1))
+    assert platform.asked == [0, 40, 0, 3, 0]
+    assert node.get(NAME).generation == 2
+
+
+def test_watch_that_answers_at_once_with_nothing_does_not_spin():
+    platform, node = watch(see(4, 1), *[see(4)] * 12)
+    waited_ms = node._kernel.clock.now_ms()
+    assert waited_ms > 100
+    # After some idle answers the whole prefix is read again.
+    assert platform.asked.count(0) >= 2
+
+
+def test_malformed_object_in_a_watch_does_not_hide_the_others():
+    bad = MalformedObject(name="configuration/other", message="malformed")
+    _, node = watch(see(4, 3, malformed=[bad]))
+    assert node.get(NAME).generation == 3
+    assert node.describe()["problems"] == {"configuration/other": "malformed"}
+
+
+def test_few_members_watch_and_others_take_over_when_one_is_gone():
+    """Guards against a fleet in which every instance, or none, watches."""
+    names = [f"entry-{number}" for number in range(20)]
+
+    def list_watchers(members):
+        found = []
+        for name in members:
+            node = Network().add(name)
+            node._membership = FixedMembership(members)
+            if node._is_watcher():
+                found.append(name)
+        return found
+
+    watchers = list_watchers(names)
+    assert len(watchers) == create_kernel().settings.platform.watchers
+    left = [name for name in names if name != watchers[0]]
+    assert watchers[1] in list_watchers(left)
+    assert len(list_watchers(left)) == len(watchers)
+
+
+def test_change_of_members_wakes_a_thread_that_waits_to_become_a_watcher():
+    node = Network().add("entry-0")
+    clock = node._kernel.clock
+
+    def change_members(condition, timeout_ms):
+        node._handle_member(MemberChanged(instance="entry-1", state="dead"))
+        return True
+
+    clock_wait = type(clock).wait
+    type(clock).wait = lambda self, *args: change_members(*args)
+    try:
+        node._pause(10_000, wake_on_members=True)
+    finally:
+        type(clock).wait = clock_wait
+    assert clock.now_ms() == 0
+
+
+def test_offer_of_a_complete_set_is_answered_with_what_it_lacks():
+    network = Network()
+    node = network.add("entry-0")
+    node.offer(create_document({"generation": 1}), source="platform")
+    comparison = node._table.compare_offer(DocumentOffer(digests=[], complete=True))
+    assert [document.name for document in comparison.sent] == [NAME]
