--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -75,6 +75,9 @@
         self.on_call = lambda: None
         self._late: list[tuple[int, dict, int]] = []
 
+    def describe(self) -> dict:
+        return {"calls": {}}
+
     def get(self, name: str):
         match self._next_fault():
             case "down":
