--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,149 @@
+"""The control state of real instances while the platform fails."""
+
+import threading
+
+import pytest
+
+from gooseberrystand.fleet import OPERATOR_TOKEN, Fleet, GroupShape, run_fleet
+
+SHAPES = (GroupShape(name="order-desk", services=1, servers=2),)
+GIVE_UP_MS = 8_000
+POLL_MS = 30
+
+
+def call(fleet, name, method, path, body=None):
+    return fleet.client.call(
+        method,
+        fleet.instances[name].administration_url + path,
+        body,
+        headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+    )
+
+
+def change(fleet, name, change_id, group, *, base=1):
+    value = {"index": "order-desk", "match": {}, "labels": {"by": change_id}}
+    edit = {"action": "put", "kind": "group", "name": group, "value": value}
+    body = {"base_generation": base, "change_id": change_id, "edits": [edit]}
+    return call(fleet, name, "POST", "/v1/configuration/changes", body)
+
+
+def wait_until(fleet, is_reached):
+    """Waits for a state that an instance reaches without a call of the test."""
+    until_ms = fleet.clock.now_ms() + GIVE_UP_MS
+    while not is_reached():
+        assert fleet.clock.now_ms() < until_ms, "the state was not reached"
+        fleet.clock.sleep_ms(POLL_MS)
+
+
+def wait_for_generation(fleet, names, generation):
+    wait_until(
+        fleet,
+        lambda: all(
+            call(fleet, name, "GET", "/v1/configuration").body.get("generation")
+            == generation
+            for name in names
+        ),
+    )
+
+
+def read_labels(fleet, name):
+    shown = call(fleet, name, "GET", "/v1/configuration").body
+    return {group["name"]: group["labels"].get("by") for group in shown["groups"]}
+
+
+@pytest.mark.processes
+def test_change_accepted_before_an_outage_is_in_force_and_outlives_the_platform(
+    tmp_path,
+):
+    """Guards against an accepted change that waits for, or reverts with, the platform.
+
+    The platform goes away right after the acceptance and comes back without the
+    change, as after a loss of its data.
+    """
+    fleet = Fleet(folder=tmp_path, shapes=SHAPES)
+    with run_fleet(instances=4, fleet=fleet):
+        assert change(fleet, "entry-0", "one", "a").status == 200
+        fleet.kill("platform")
+        names = list(fleet.instances)
+        wait_for_generation(fleet, names, 2)
+        refused = change(fleet, "entry-1", "two", "b", base=2)
+        assert refused.status == 503
+        assert refused.body["error"]["run_state"] == "not_run"
+        fleet.restart("platform")
+        assert fleet.read_object("configuration/current")["value"]["generation"] == 1
+        assert change(fleet, "entry-2", "three", "c", base=2).body["generation"] == 3
+        wait_for_generation(fleet, names, 3)
+        for name in names:
+            assert read_labels(fleet, name)["a"] == "one"
+            assert read_labels(fleet, name)["c"] == "three"
+
+
+@pytest.mark.processes
+def test_racing_operators_with_lost_replies_and_stale_reads(tmp_path):
+    """Guards against a change that is lost, applied twice or answered untruly."""
+    fleet = Fleet(folder=tmp_path, shapes=SHAPES)
+    answers = {}
+    with run_fleet(instances=3, fleet=fleet):
+        fleet.set_faults(lose_write_replies=3, stale_reads=True)
+
+        def run(name, change_id, group):
+            answers[change_id] = change(fleet, name, change_id, group)
+
+        calls = [
+            ("entry-0", "one", "a"),
+            ("entry-1", "two", "b"),
+            ("entry-2", "three", "c"),
+            ("entry-0", "four", "same"),
+            ("entry-1", "five", "same"),
+        ]
+        threads = [threading.Thread(target=run, args=entry) for entry in calls]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        fleet.set_faults(lose_write_replies=0, stale_reads=False)
+        statuses = {key: reply.status for key, reply in answers.items()}
+        assert [statuses[key] for key in ("one", "two", "three")] == [200] * 3
+        assert sorted([statuses["four"], statuses["five"]]) == [200, 409]
+        # The same proposal again, through another instance, finds itself.
+        again = change(fleet, "entry-2", "one", "a")
+        assert again.body["generation"] == answers["one"].body["generation"]
+        value = fleet.read_object("configuration/current")["value"]
+        assert value["generation"] == 5
+        accepted = {key for key, status in statuses.items() if status == 200}
+        applied = [found["change_id"] for found in value["recent_changes"]]
+        assert sorted(applied) == sorted(accepted)
+        wait_for_generation(fleet, list(fleet.instances), 5)
+
+
+@pytest.mark.processes
+def test_object_that_does_not_decode_is_shown_and_never_in_force(tmp_path):
+    """Guards against a bad object that takes the configuration from the fleet."""
+    fleet = Fleet(folder=tmp_path, shapes=SHAPES)
+
+    def list_problems():
+        status = call(fleet, "entry-1", "GET", "/v1/status").body
+        return [
+            instance["services"]["documents"]["problems"]
+            for instance in status["instances"]
+        ]
+
+    with run_fleet(instances=2, fleet=fleet):
+        good = fleet.read_object("configuration/current")["value"]
+        bad = {"generation": 9, "selectors": "gone"}
+        fleet.write_object("configuration/current", bad)
+        wait_until(
+            fleet,
+            lambda: any("configuration/current" in found for found in list_problems()),
+        )
+        answer = fleet.query(
+            fleet.instances["entry-0"], service="order-desk", rank="urgent", terms={}
+        )
+        assert answer["coverage"]["complete"] is True
+        refused = change(fleet, "entry-0", "one", "a")
+        assert refused.status == 503
+        assert refused.body["error"]["run_state"] == "not_run"
+        fleet.write_object("configuration/current", {**good, "generation": 10})
+        wait_for_generation(fleet, list(fleet.instances), 10)
+        assert not any(list_problems())
+        assert change(fleet, "entry-0", "one", "a", base=10).status == 200
