Run orders at most once: claims, group commit, attempts, outcomes by key

Ruled out: a lease for each claim (a paused holder runs the order twice) and an own object for each order (writes grow with orders).

--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -1,4 +1,4 @@
-"""Caller API over HTTP and JSON: query, health, metrics."""
+"""Caller API over HTTP and JSON: query, order, health, metrics."""
 
 import dataclasses
 
@@ -10,6 +10,7 @@
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
 from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.order_api import ORDER_PATH, OrderBody, OrderEndpoints
 from gooseberrymux.queries import Queries
 from gooseberrymux.records import Answer, Query, Rank, Refusal, Traffic
 from gooseberrymux.snapshots import Snapshots
@@ -32,13 +33,14 @@
     minimum_coverage: float = 0.0
 
 
-@service("api", requires=("queries", "calls", "configuration", "snapshots"))
+@service("api", requires=("queries", "orders", "calls", "configuration", "snapshots"))
 class Api:
     """Serves callers, one worker thread a connection."""
 
     __slots__ = (
         "_kernel",
         "_queries",
+        "_orders",
         "_calls",
         "_configuration",
         "_snapshots",
@@ -49,6 +51,7 @@
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._queries = kernel.find("queries", Queries)
+        self._orders = OrderEndpoints(kernel=kernel)
         self._calls = kernel.find("calls", Calls)
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
@@ -80,6 +83,10 @@
         match (request.method, request.path):
             case ("POST", "/v1/query"):
                 return self._handle_query(request)
+            case ("POST", path) if path == ORDER_PATH:
+                return self._handle_order(request)
+            case ("GET", path) if path.startswith(f"{ORDER_PATH}/"):
+                return self._orders.find(request, caller=read_caller(request))
             case ("GET", "/health"):
                 return self._handle_health()
             case ("GET", "/metrics"):
@@ -113,7 +120,7 @@
         query = Query(
             request_id=self._calls.create_id("q"),
             traffic=Traffic(
-                caller=request.headers.get("x-caller", "anonymous"),
+                caller=read_caller(request),
                 service=body.service,
                 rank=body.rank,
                 labels=body.labels,
@@ -128,6 +135,18 @@
             case Err(refusal):
                 return create_refusal(refusal)
 
+    def _handle_order(self, request: Request) -> Response:
+        limit_bytes = self._kernel.settings.api.body_limit_bytes
+        match web.read_json(request, limit_bytes=limit_bytes).and_then(
+            lambda decoded: parse_body(OrderBody, decoded)
+        ):
+            case Err(response):
+                return response
+            case Ok(body):
+                return self._orders.submit(
+                    request, caller=read_caller(request), body=body
+                )
+
     def _handle_health(self) -> Response:
         state = "ready"
         if self._kernel.failure:
@@ -143,6 +162,11 @@
         return web.create_json(status=status, body={"state": state})
 
 
+def read_caller(request: Request) -> str:
+    """Returns the caller that a request names."""
+    return request.headers.get("x-caller", "anonymous")
+
+
 def parse_body(cls: type, decoded: dict) -> Result:
     """Returns the checked body, or the 400 that names the wrong field."""
     try:
--- a/packages/gooseberrymux/src/gooseberrymux/calls.py
+++ b/packages/gooseberrymux/src/gooseberrymux/calls.py
@@ -33,6 +33,13 @@
     inbox: "Inbox"
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UnexpectedOutcome:
+    """An outcome arrived for which no call waits any more."""
+
+    outcome: SubrequestOutcome
+
+
 class Inbox:
     """Outcomes that one caller's thread waits for."""
 
@@ -141,11 +148,13 @@
         """Passes an outcome to the thread that waits; drops what nobody waits for."""
         with self._lock:
             call = self._calls.pop(outcome.id, None)
-            if call is None:
-                metrics.dropped_total.inc({"reason": "late_or_foreign_outcome"})
+            if call is not None:
+                self._in_flight[call.subrequest.upstream] -= 1
+                # Under the lock, so that after `forget` the inbox is complete.
+                call.inbox.put(outcome)
                 return
-            self._in_flight[call.subrequest.upstream] -= 1
-        call.inbox.put(outcome)
+        metrics.dropped_total.inc({"reason": "late_or_foreign_outcome"})
+        self._kernel.publish(UnexpectedOutcome(outcome=outcome))
 
     def forget(self, subrequest_id: str) -> None:
         """Stops waiting for a sub-request; a later outcome is dropped."""
--- a/packages/gooseberrymux/src/gooseberrymux/configuration.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration.py
@@ -28,6 +28,8 @@
         index: The index that its upstreams serve.
         match: Labels that an upstream must have to belong to it.
         labels: Labels of the group itself.
+        outcome_lookup: Whether its upstreams can be asked for an order's outcome by
+            key.
     """
 
     __pydantic_config__ = LENIENT
@@ -36,6 +38,7 @@
     index: str
     match: dict[str, str]
     labels: dict[str, str] = dataclasses.field(default_factory=dict)
+    outcome_lookup: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.duplicates import RecentIds
 from gooseberrymux.exchange import Exchange
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
@@ -25,6 +26,10 @@
 REASON_LEAVING = "instance_leaving"
 REASON_UNKNOWN_UPSTREAM = "unknown_upstream"
 
+# A repeated order within the last ones is dropped; at 1,000 orders a second through
+# one owner that is a minute.
+RECENT_ORDERS = 65_536
+
 Reply = Callable[[SubrequestOutcome], None]
 
 
@@ -128,7 +133,15 @@
 class Dispatch:
     """The lanes of the upstreams that this instance serves."""
 
-    __slots__ = ("_kernel", "_peers", "_inventory", "_lanes", "_lock", "_draining")
+    __slots__ = (
+        "_kernel",
+        "_peers",
+        "_inventory",
+        "_lanes",
+        "_lock",
+        "_draining",
+        "_recent_orders",
+    )
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
@@ -137,6 +150,7 @@
         self._lanes: dict[str, Lane] = {}
         self._lock = threading.Lock()
         self._draining = False
+        self._recent_orders = RecentIds(limit=RECENT_ORDERS)
         self._peers.register(Subrequest, self._handle_subrequest)
         self._peers.register(CancelSubrequest, self._handle_cancel)
 
@@ -162,6 +176,10 @@
             subrequest: What to run.
             reply: Called once with the outcome, from any thread; must not block.
         """
+        if subrequest.order_key and not self._recent_orders.add(subrequest.id):
+            # Even a refusal of the second copy would be untrue: the first may run.
+            metrics.dropped_total.inc({"reason": "repeated_order"})
+            return
         record = self._inventory.describe(subrequest.upstream)
         if record is None:
             reply(refuse(subrequest, REASON_UNKNOWN_UPSTREAM, subrequest.upstream))
--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -173,3 +173,39 @@
     if status == 200:
         return Err(REASON_MALFORMED)
     return Err(str(decoded.get("error", f"status_{status}")))
+
+
+def look_up_order(
+    *, record: UpstreamRecord, key: str, timeout_ms: float
+) -> Result[dict | None, str]:
+    """Asks an upstream for the reply of an order that it ran.
+
+    Args:
+        record: The upstream.
+        key: Idempotency key of the order.
+        timeout_ms: Longest wait in milliseconds.
+
+    Returns:
+        The reply, or None if the upstream knows no such order; the order may still
+        be on its way. Err with the reason if the upstream gave no usable answer.
+    """
+    connection = urllib3.connection.HTTPConnection(
+        record.host, record.port, timeout=timeout_ms / 1000
+    )
+    try:
+        connection.request("GET", f"/orders/{key}", preload_content=False)
+        response = connection.getresponse()
+        decoded = json.loads(response.read(REPLY_LIMIT_BYTES))
+    except ValueError:
+        return Err(REASON_MALFORMED)
+    except (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException):
+        return Err(REASON_BROKEN)
+    finally:
+        connection.close()
+    match decoded:
+        case {"key": found, "state": "completed", "reply": dict(reply)} if found == key:
+            return Ok(reply)
+        case {"state": "not_found"}:
+            return Ok(None)
+        case _:
+            return Err(REASON_MALFORMED)
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -207,12 +207,25 @@
 
 @_message
 class ClaimRequest:
-    """Asks a range's owner to commit a claim."""
+    """Asks a range's owner to commit a claim.
+
+    Attributes:
+        call_id: Matches the reply.
+        key: Idempotency key.
+        attempt: The attempt that claims it.
+        digest: Digest of the order.
+        caller: Whose order it is.
+        service: Service of the replicas that the attempt may be sent to.
+        remaining_ms: Milliseconds left to the entry's deadline for the claim.
+    """
 
     call_id: str
     key: str
     attempt: str
     digest: str
+    caller: str
+    service: str
+    remaining_ms: float
 
 
 @_message
@@ -222,41 +235,48 @@
     Attributes:
         call_id: Matches the reply.
         key: Idempotency key.
-        attempt: The attempt whose claim it is.
+        attempt: The attempt whose outcome it is.
         state: completed or released.
         upstream: Where it ran.
         reply: The upstream's reply.
+        digest: Digest of the order.
+        caller: Whose order it is.
     """
 
     call_id: str
     key: str
     attempt: str
     state: str
+    digest: str
+    caller: str
     upstream: str = ""
     reply: dict = dataclasses.field(default_factory=dict)
 
 
+@_message
+class LedgerQuery:
+    """Asks a range's owner for the entry of a key."""
+
+    call_id: str
+    key: str
+    remaining_ms: float
+
+
 @_message
 class LedgerReply:
-    """Answers `ClaimRequest` and `OutcomeRecord`.
+    """Answers `ClaimRequest`, `OutcomeRecord` and `LedgerQuery`.
 
     Attributes:
         call_id: The call.
-        state: claimed, exists, recorded, too_old or unavailable.
-        attempt: The attempt that holds the claim.
-        digest: Digest of the order that holds the claim.
-        completed: Whether its outcome is recorded.
-        upstream: Where it ran.
-        reply: The upstream's reply.
+        verdict: claimed, found, absent, recorded, rejected or unavailable.
+        code: Why it was rejected or is unavailable.
+        entry: The entry that was found, as in the platform object.
     """
 
     call_id: str
-    state: str
-    attempt: str = ""
-    digest: str = ""
-    completed: bool = False
-    upstream: str = ""
-    reply: dict = dataclasses.field(default_factory=dict)
+    verdict: str
+    code: str = ""
+    entry: dict = dataclasses.field(default_factory=dict)
 
 
 @_message
@@ -291,6 +311,7 @@
     LeavingNotice,
     ClaimRequest,
     OutcomeRecord,
+    LedgerQuery,
     LedgerReply,
     StatusRequest,
     StatusReply,
--- a/packages/gooseberrymux/src/gooseberrymux/records.py
+++ b/packages/gooseberrymux/src/gooseberrymux/records.py
@@ -190,11 +190,19 @@
 
 @_frozen
 class OrderCompleted:
-    """The order ran and its upstream's reply is known."""
+    """The order ran and its upstream's reply is known.
+
+    Attributes:
+        key: Idempotency key.
+        upstream: Where it ran.
+        reply: The upstream's reply.
+        reply_omitted: Whether the reply was too large to be kept for later.
+    """
 
     key: str
     upstream: str
     reply: dict
+    reply_omitted: bool = False
 
 
 @_frozen
@@ -214,3 +222,23 @@
 
 
 OrderOutcome = OrderCompleted | OrderNotRun | OrderUnknown
+
+
+@_frozen
+class OrderNotFound:
+    """No order with this key is known."""
+
+    key: str
+
+
+@_frozen
+class OutcomeUnavailable:
+    """The outcome cannot be looked up at present."""
+
+    key: str
+    refusal: Refusal
+
+
+LookedUpOutcome = (
+    OrderCompleted | OrderNotRun | OrderUnknown | OrderNotFound | OutcomeUnavailable
+)
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -135,6 +135,7 @@
 
     ranges: int = 64
     retention_ms: int = 86_400_000
+    key_margin_ms: int = 3_600_000
     commit_timeout_ms: int = 2_000
 
 
