--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -4,6 +4,7 @@
 test picks what becomes of it, so only one thread runs at a time.
 """
 
+import functools
 import threading
 
 import yaml
@@ -260,11 +261,28 @@
         target()
 
 
+@functools.cache
+def create_settings(name, claim_commit):
+    given = {
+        "instance": {
+            "name": name,
+            "failure_domain": "d",
+            "callers": {},
+            "administration": {},
+            "peers": {},
+        },
+        "platform": {"url": ""},
+        "policy": {"claim_commit": claim_commit},
+        "orders": {"ranges": 1},
+    }
+    return parse_settings(yaml.safe_dump(given), source="test")
+
+
 class Instance:
     """Real orders and claims over stepped surroundings."""
 
     def __init__(self, *, world, name, incarnation):
-        settings = parse_settings(yaml.safe_dump(world.settings(name)), source="test")
+        settings = create_settings(name, world.claim_commit)
         self.clock = JumpingClock()
         self.kernel = InlineKernel(settings=settings, clock=self.clock)
         self.peers = StepPeers(world=world, name=name, incarnation=incarnation)
@@ -297,20 +315,6 @@
         for name in names:
             self.restart(name)
 
-    def settings(self, name):
-        return {
-            "instance": {
-                "name": name,
-                "failure_domain": "d",
-                "callers": {},
-                "administration": {},
-                "peers": {},
-            },
-            "platform": {"url": ""},
-            "policy": {"claim_commit": self.claim_commit},
-            "orders": {"ranges": 1},
-        }
-
     def create_id(self, kind):
         self.counter += 1
         return f"{kind}{self.counter}"
