--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -31,16 +31,17 @@
 from gooseberrymux.peers import PeerError, Peers
 from gooseberrymux.platform import (
     Platform,
+    PlatformError,
     PlatformObject,
     VersionConflict,
     Written,
-    fail,
 )
 from gooseberrymux.records import (
     InstanceIdentity,
     InstanceRecord,
     Order,
     Rank,
+    RunState,
     Traffic,
     UpstreamRecord,
 )
@@ -57,6 +58,10 @@
 )
 
 
+def fail(step):
+    return PlatformError(step=step, message="no answer", run_state=RunState.UNKNOWN)
+
+
 class Crashed(BaseException):
     """Unwinds the thread of an instance that was killed."""
 
