--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -54,6 +54,7 @@
 
     url: str
     timeout_ms: int = 1_000
+    calls_in_flight: int = 16
     watchers: int = 2
     watch_timeout_ms: int = 10_000
 
@@ -135,6 +136,7 @@
 
     ranges: int = 64
     retention_ms: int = 86_400_000
+    key_margin_ms: int = 3_600_000
     commit_timeout_ms: int = 2_000
 
 
