Leave fields that the server fills in out of differences

Cause: a file without outcome_lookup differed from the object in force, which has it as false, so apply proposed a change that changes nothing. Priority 0 stays a difference, since 0 equals False in Python; a test guards it.

--- a/packages/gooseberryctl/src/gooseberryctl/files.py
+++ b/packages/gooseberryctl/src/gooseberryctl/files.py
@@ -171,7 +171,12 @@
 
 def strip_empty(value: dict) -> dict:
     """Returns an object without its empty fields."""
-    return {key: field for key, field in value.items() if field not in ({}, [], "")}
+    return {key: field for key, field in value.items() if not is_empty(field)}
+
+
+def is_empty(field: object) -> bool:
+    """Returns whether a field has the value that the server fills in; 0 is none."""
+    return field is False or field in ({}, [], "")
 
 
 def describe_difference(*, current: dict, edits: tuple[Edit, ...]) -> str:
--- a/tests/ctl/test_ctl_files.py
+++ b/tests/ctl/test_ctl_files.py
@@ -59,7 +59,13 @@
     wanted = read_file(write(tmp_path, TEXT))
     current = {
         "groups": [
-            {"name": "desk", "index": "desk", "match": {"group": "desk"}, "labels": {}}
+            {
+                "name": "desk",
+                "index": "desk",
+                "match": {"group": "desk"},
+                "labels": {},
+                "outcome_lookup": False,
+            }
         ],
         "selectors": [
             {"name": "all", "priority": 1, "groups": ["desk"], "callers": []}
@@ -84,3 +90,11 @@
     text = describe_difference(current=current, edits=edits)
     assert "-priority: 5" in text
     assert "+priority: 1" in text
+
+
+def test_priority_zero_is_a_difference(tmp_path):
+    # 0 equals False, which the server fills in for other fields.
+    wanted = read_file(write(tmp_path, TEXT.replace("priority: 1", "priority: 0")))
+    current = {"selectors": [{"name": "all", "groups": ["desk"]}]}
+    edits = create_edits(current=current, wanted=wanted, prune=False)
+    assert any(edit.kind == "selector" for edit in edits)
