--- a/packages/gooseberrystand/src/gooseberrystand/demo.py
+++ b/packages/gooseberrystand/src/gooseberrystand/demo.py
@@ -12,7 +12,6 @@
 
 INSTANCES = 3
 STATUS_OK = 200
-CODE_NOT_FOUND = "not_found"
 
 
 def main() -> int:
@@ -61,7 +60,7 @@
     """Runs one order and prints the answer and how often it ran.
 
     Returns:
-        Whether it completed and ran once; true if there is no order endpoint.
+        Whether it completed and ran once.
     """
     instance = next(iter(fleet.instances.values()))
     key = str(uuid6.uuid7())
@@ -74,9 +73,6 @@
     )
     runs = fleet.count_runs(key)
     print(f"order through {instance.name}: {json.dumps(reply.body)}, ran {runs} times")
-    error = reply.body.get("error")
-    if isinstance(error, dict) and error.get("code") == CODE_NOT_FOUND:
-        return True
     return reply.status == STATUS_OK and runs == 1
 
 
--- a/packages/gooseberrystand/src/gooseberrystand/slopes/__main__.py
+++ b/packages/gooseberrystand/src/gooseberrystand/slopes/__main__.py
@@ -28,12 +28,8 @@
     for name, measure in MEASUREMENTS.items():
         if arguments.only and name not in arguments.only:
             continue
-        found = False
         for series in measure():
-            found = True
             print(describe_series(series), flush=True)
-        if not found:
-            print(f"{name}: not measured, nothing to measure yet", file=sys.stderr)
     return 0
 
 
--- a/packages/gooseberrystand/src/gooseberrystand/slopes/idle.py
+++ b/packages/gooseberrystand/src/gooseberrystand/slopes/idle.py
@@ -63,13 +63,18 @@
     for cost, read in (
         ("idle CPU of an instance (share of a core)", Costs.mean_cpu_share.fget),
         ("memory of an instance (MB)", Costs.mean_memory_mb.fget),
-        ("idle traffic of an instance (bytes/s)", Costs.mean_network_rate.fget),
     ):
-        yield Series(
-            cost=cost,
-            size=size,
-            points=[(count, read(costs)) for count, costs in found],
-        )
+        points = [(count, read(costs)) for count, costs in found]
+        yield Series(cost=cost, size=size, points=points)
+    yield Series(
+        cost="idle traffic of an instance (bytes/s)",
+        size=size,
+        points=[
+            (count, costs.mean_network_rate)
+            for count, costs in found
+            if costs.network_bytes
+        ],
+    )
 
 
 def create_record(number: int) -> dict:
--- a/packages/gooseberrystand/src/gooseberrystand/slopes/work.py
+++ b/packages/gooseberrystand/src/gooseberrystand/slopes/work.py
@@ -53,7 +53,11 @@
     yield Series(
         cost="traffic of an instance (bytes)",
         size=size,
-        points=[(n, costs.mean_network_rate * costs.elapsed_s) for n, costs in found],
+        points=[
+            (n, costs.mean_network_rate * costs.elapsed_s)
+            for n, costs in found
+            if costs.network_bytes
+        ],
     )
 
 
@@ -80,7 +84,8 @@
             sent = costs.mean_network_rate - idle_costs.mean_network_rate
             stretch_s = costs.elapsed_s / CHANGES_EACH
             cpu.append((selectors, spent_ms * 1000 * stretch_s))
-            traffic.append((selectors, sent * stretch_s))
+            if costs.network_bytes:
+                traffic.append((selectors, sent * stretch_s))
     yield Series(
         cost="CPU of an instance for one configuration change (ms)",
         size="selectors",
@@ -145,13 +150,12 @@
 
 
 def measure_order_writes(ranges: int) -> Iterator[Series]:
-    """The same for one number of claim ranges; nothing if there are no orders."""
+    """The same for one number of claim ranges."""
     points = []
     with run_small_fleet(
         instances=SMALL_FLEET, shape=DESK, overrides={"orders": {"ranges": ranges}}
     ) as fleet:
-        if send_order(fleet, 0) == "not_found":
-            return
+        send_order(fleet, 0)
         fleet.set_faults(slow_ms=PLATFORM_CALL_MS)
         fleet.clock.sleep_ms(SETTLE_MS)
         for concurrency in ORDER_CONCURRENCY:
