--- a/packages/gooseberrymux/src/gooseberrymux/document_table.py
+++ b/packages/gooseberrymux/src/gooseberrymux/document_table.py
@@ -12,9 +12,17 @@
 import threading
 from collections.abc import Callable, Sequence
 
-from gooseberrymux.messages import DocumentBody, DocumentDigest, DocumentOffer
+from result import Ok
 
-# Digests in one offer: about 100 bytes each, so an exchange stays under 7 KB.
+from gooseberrymux.deltas import apply_steps, create_steps
+from gooseberrymux.messages import (
+    DocumentBody,
+    DocumentDelta,
+    DocumentDigest,
+    DocumentOffer,
+)
+
+# Digests in one offer: measured with 64 names of 28 letters, it takes 5.6 KB.
 OFFER_LIMIT = 64
 # Bodies sent for one offer or request; a frame between instances holds 4 MB.
 BODIES_LIMIT_BYTES = 1_000_000
@@ -23,6 +31,10 @@
 PUSH_FANOUT = 4
 EXCHANGE_PEERS = 2
 PROBLEM_LIMIT = 64
+# A larger change is sent as a whole body. The last ones are kept to bring a peer
+# up that is a few generations behind.
+DELTA_LIMIT_BYTES = 4_096
+DELTAS_KEPT = 32
 GENERATION_LIMIT = 2**53
 NESTING_LIMIT = 32
 
@@ -70,10 +82,12 @@
 class DocumentTable:
     """The documents in force, the checks that they pass and the known problems."""
 
-    __slots__ = ("_documents", "_problems", "_checks", "_cursor", "_lock")
+    __slots__ = ("_documents", "_deltas", "_problems", "_checks", "_cursor", "_lock")
 
     def __init__(self):
         self._documents: dict[str, DocumentBody] = {}
+        # Each delta applies to what the one before it makes.
+        self._deltas: dict[str, list[DocumentDelta]] = {}
         self._problems: dict[str, str] = {}
         self._checks: dict[str, Check] = {}
         self._cursor = 0
@@ -135,11 +149,47 @@
             if known and order_copy(document) <= order_copy(known):
                 return compare_lower(document, known)
             self._documents[document.name] = document
+            self._keep_delta(known, document)
             if known and known.generation == document.generation:
                 return Applied(fork=known.hash)
             self._problems.pop(document.name, None)
             return Applied()
 
+    def list_deltas(self, name: str, base: str | None) -> list[DocumentDelta]:
+        """Returns the changes since a copy, or nothing if they are not all kept.
+
+        Args:
+            name: The document.
+            base: Hash of the copy.
+        """
+        with self._lock:
+            kept = self._deltas.get(name, [])
+            for position, delta in enumerate(kept):
+                if delta.base == base:
+                    return kept[position:]
+            return []
+
+    def get_last_delta(self, document: DocumentBody) -> DocumentDelta | None:
+        """Returns the change that made a document, if it is small."""
+        with self._lock:
+            kept = self._deltas.get(document.name)
+            return kept[-1] if kept and kept[-1].hash == document.hash else None
+
+    def apply_delta(self, delta: DocumentDelta) -> DocumentBody | None:
+        """Returns the document that a delta makes; None if it needs another base."""
+        known = self._documents.get(delta.name)
+        if known is None or known.hash != delta.base:
+            return None
+        match apply_steps(known.body, delta.steps):
+            case Ok(body) if is_hash_of(delta.hash, body):
+                return DocumentBody(
+                    name=delta.name,
+                    generation=delta.generation,
+                    hash=delta.hash,
+                    body=body,
+                )
+        return None
+
     def create_offer(self) -> DocumentOffer:
         """Returns an offer of bounded size; successive ones cover all documents."""
         documents = self.list_documents()
@@ -149,10 +199,7 @@
             self._cursor = start + OFFER_LIMIT
             documents = (documents + documents)[start : start + OFFER_LIMIT]
         return DocumentOffer(
-            digests=[
-                DocumentDigest(name=doc.name, generation=doc.generation, hash=doc.hash)
-                for doc in documents
-            ],
+            digests=[create_digest(document) for document in documents],
             complete=complete,
         )
 
@@ -172,6 +219,23 @@
             lower += [doc for doc in self.list_documents() if doc.name not in offered]
         return Comparison(wanted=wanted, sent=limit_bodies(lower), forks=forks)
 
+    def _keep_delta(self, known: DocumentBody | None, document: DocumentBody) -> None:
+        if known is None:
+            return
+        delta = DocumentDelta(
+            name=document.name,
+            base=known.hash,
+            generation=document.generation,
+            hash=document.hash,
+            steps=create_steps(known.body, document.body),
+        )
+        size_bytes = measure_body([dataclasses.asdict(step) for step in delta.steps])
+        if size_bytes > min(DELTA_LIMIT_BYTES, measure_body(document.body)):
+            self._deltas.pop(document.name, None)
+            return
+        kept = self._deltas.get(document.name, [])
+        self._deltas[document.name] = [*kept, delta][-DELTAS_KEPT:]
+
     def _is_full(self) -> bool:
         return len(self._problems) >= PROBLEM_LIMIT
 
@@ -189,6 +253,13 @@
         return None
 
 
+def create_digest(document: DocumentBody) -> DocumentDigest:
+    """Returns name, generation and hash of a document."""
+    return DocumentDigest(
+        name=document.name, generation=document.generation, hash=document.hash
+    )
+
+
 def order_copy(copy: DocumentBody | DocumentDigest) -> tuple[int, str]:
     """Returns the key by which copies of one document are ordered.
 
@@ -293,6 +364,11 @@
     return hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
 
 
-def measure_body(body: dict) -> int:
+def is_hash_of(expected: str, body: dict) -> bool:
+    """Returns whether a body has the expected hash."""
+    return find_unportable(body, depth=0) is None and hash_body(body) == expected
+
+
+def measure_body(body: dict | list) -> int:
     """Returns the size of a body in bytes, as compact JSON."""
     return len(json.dumps(body, separators=(",", ":")))
--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -21,15 +21,18 @@
     Rejected,
     choose_exchange_targets,
     choose_push_targets,
+    create_digest,
     hash_body,
     limit_bodies,
     measure_body,
+    order_copy,
 )
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import MemberChanged, Membership
 from gooseberrymux.messages import (
     DocumentBody,
+    DocumentDelta,
     DocumentDigest,
     DocumentOffer,
     DocumentRequest,
@@ -103,6 +106,7 @@
         self._peers.register(DocumentOffer, self._handle_offer)
         self._peers.register(DocumentRequest, self._handle_request)
         self._peers.register(DocumentBody, self._handle_body)
+        self._peers.register(DocumentDelta, self._handle_delta)
         kernel.subscribe(MemberChanged, self._handle_member)
 
     def start(self) -> None:
@@ -146,10 +150,7 @@
 
     def list_digests(self) -> list[DocumentDigest]:
         """Returns name, generation and hash of each document in force."""
-        return [
-            DocumentDigest(name=doc.name, generation=doc.generation, hash=doc.hash)
-            for doc in self._table.list_documents()
-        ]
+        return [create_digest(document) for document in self._table.list_documents()]
 
     def offer_body(self, *, name: str, body: dict, source: str) -> bool:
         """Puts the body of a platform object in force; see `offer`."""
@@ -214,18 +215,13 @@
         targets = choose_push_targets(
             peers=peers, source=source, generator=self._random
         )
-        message: DocumentBody | DocumentOffer = document
+        message: DocumentBody | DocumentDelta | DocumentOffer = document
         everyone = len(targets) >= len(peers) - 1
-        if not everyone and measure_body(document.body) > PUSH_BODY_LIMIT_BYTES:
-            message = DocumentOffer(
-                digests=[
-                    DocumentDigest(
-                        name=document.name,
-                        generation=document.generation,
-                        hash=document.hash,
-                    )
-                ]
-            )
+        delta = self._table.get_last_delta(document)
+        if delta:
+            message = delta
+        elif not everyone and measure_body(document.body) > PUSH_BODY_LIMIT_BYTES:
+            message = DocumentOffer(digests=[create_digest(document)])
         for name in targets:
             # A full queue drops it; the periodic exchange makes up for that.
             self._peers.send(name, message)
@@ -361,14 +357,39 @@
             if known and known.generation == theirs.generation:
                 self._report_fork(known, theirs.hash, sender.name)
         if comparison.wanted:
-            self._peers.send(sender.name, DocumentRequest(names=comparison.wanted))
+            self._request(sender, comparison.wanted)
         for document in comparison.sent:
             self._peers.send(sender.name, document)
 
     def _handle_request(self, sender: InstanceIdentity, asked: DocumentRequest) -> None:
-        known = [self._table.get(name) for name in asked.names]
-        for document in limit_bodies([doc for doc in known if doc]):
+        bodies = []
+        for name in asked.names:
+            deltas = self._table.list_deltas(name, asked.known.get(name))
+            for delta in deltas:
+                self._peers.send(sender.name, delta)
+            document = self._table.get(name)
+            if document and not deltas:
+                bodies.append(document)
+        for document in limit_bodies(bodies):
             self._peers.send(sender.name, document)
 
     def _handle_body(self, sender: InstanceIdentity, document: DocumentBody) -> None:
         self.offer(document, source=sender.name)
+
+    def _handle_delta(self, sender: InstanceIdentity, delta: DocumentDelta) -> None:
+        known = self._table.get(delta.name)
+        if known and order_copy(known) >= (delta.generation, delta.hash):
+            return
+        document = self._table.apply_delta(delta)
+        if document:
+            self.offer(document, source=sender.name)
+        elif known and known.hash == delta.base:
+            # The delta does not make what it says, so only the whole body helps.
+            self._peers.send(sender.name, DocumentRequest(names=[delta.name]))
+        else:
+            self._request(sender, [delta.name])
+
+    def _request(self, sender: InstanceIdentity, names: list[str]) -> None:
+        copies = [self._table.get(name) for name in names]
+        known = {copy.name: copy.hash for copy in copies if copy}
+        self._peers.send(sender.name, DocumentRequest(names=names, known=known))
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -1,6 +1,7 @@
 """Every message between instances, as a frozen data class."""
 
 import dataclasses
+from typing import Any
 
 from gooseberrymux.records import Rank
 
@@ -181,9 +182,16 @@
 
 @_message
 class DocumentRequest:
-    """Asks for the bodies of documents."""
+    """Asks for documents.
+
+    Attributes:
+        names: The documents.
+        known: Hash of the copy in force at the sender, by name; the receiver may then
+            send the changes since.
+    """
 
     names: list[str]
+    known: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @_message
@@ -196,6 +204,40 @@
     body: dict
 
 
+@_message
+class DeltaStep:
+    """One step from a body to the next.
+
+    Attributes:
+        action: set, drop or insert.
+        path: Field names and list positions.
+        value: The new value; unused to drop.
+    """
+
+    action: str
+    path: list[str | int]
+    value: Any = None
+
+
+@_message
+class DocumentDelta:
+    """The change from one generation of a document to a later one.
+
+    Attributes:
+        name: The document.
+        base: Hash of the copy that it applies to.
+        generation: The generation that it makes.
+        hash: Hash of the copy that it makes.
+        steps: What changes.
+    """
+
+    name: str
+    base: str
+    generation: int
+    hash: str
+    steps: list[DeltaStep]
+
+
 @_message
 class LeavingNotice:
     """An upstream is leaving and gets no new work.
@@ -294,6 +336,7 @@
     DocumentOffer,
     DocumentRequest,
     DocumentBody,
+    DocumentDelta,
     LeavingNotice,
     ClaimRequest,
     OutcomeRecord,
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,7 +1,9 @@
 """Copies of platform objects: order, gossip between nodes, the watch."""
 
+import dataclasses
 import math
 import random
+import threading
 
 import pytest
 from hypothesis import given, settings
@@ -9,6 +11,7 @@
 from result import Err, Ok
 
 from control_fakes import NAME, FixedMembership, Network, create_document, create_kernel
+from gooseberrymux.deltas import DROP, INSERT, SET, apply_steps, create_steps
 from gooseberrymux.document_table import (
     EXCHANGE_PEERS,
     OFFER_LIMIT,
@@ -21,7 +24,7 @@
 )
 from gooseberrymux.documents import DocumentChanged
 from gooseberrymux.membership import MemberChanged
-from gooseberrymux.messages import DocumentBody, DocumentOffer
+from gooseberrymux.messages import DeltaStep, DocumentBody, DocumentDelta, DocumentOffer
 from gooseberrymux.platform import (
     MalformedObject,
     Platform,
@@ -211,6 +214,27 @@
     assert seen == [1, 2]
 
 
+def test_handlers_see_rising_generations_when_two_threads_offer():
+    """Guards against a handler that goes back to the earlier of two documents."""
+    node = Network().add("entry-0")
+    seen = []
+    later = threading.Thread(
+        target=lambda: node.offer_body(name=NAME, body={"generation": 2}, source="b")
+    )
+
+    def handle(event):
+        seen.append(("begins", event.generation))
+        if event.generation == 1:
+            later.start()
+            later.join(0.2)
+        seen.append(("ends", event.generation))
+
+    node._kernel.subscribe(DocumentChanged, handle)
+    node.offer_body(name=NAME, body={"generation": 1}, source="a")
+    later.join()
+    assert seen == [("begins", 1), ("ends", 1), ("begins", 2), ("ends", 2)]
+
+
 class ScriptedPlatform(Platform):
     """Answers watches from a list and stops the documents at its end."""
 
@@ -320,3 +344,110 @@
     node.offer(create_document({"generation": 1}), source="platform")
     comparison = node._table.compare_offer(DocumentOffer(digests=[], complete=True))
     assert [document.name for document in comparison.sent] == [NAME]
+
+
+names = st.sampled_from("abcd")
+items = st.lists(
+    st.fixed_dictionaries({"name": names, "x": st.integers(0, 2)}),
+    max_size=4,
+    unique_by=lambda item: item["name"],
+)
+bodies = st.dictionaries(
+    names,
+    st.recursive(
+        st.text("xy", max_size=2) | items,
+        lambda inner: st.dictionaries(names, inner) | st.lists(inner, max_size=3),
+        max_leaves=6,
+    ),
+)
+
+
+@given(bodies, bodies)
+def test_steps_between_two_bodies_make_the_second_from_the_first(old, new):
+    before = hash_body(old)
+    assert apply_steps(old, create_steps(old, new)) == Ok(new)
+    assert hash_body(old) == before
+
+
+@pytest.mark.parametrize(
+    ("action", "path"),
+    [
+        (DROP, ["gone"]),
+        (SET, ["list", 7, "x"]),
+        (SET, ["list", -1]),
+        (INSERT, ["text", 0]),
+        (SET, []),
+        ("other", ["text"]),
+    ],
+)
+def test_step_that_does_not_fit_is_an_error(action, path):
+    """Guards against a delta that stops the thread of a link."""
+    body = {"list": [{"name": "a"}], "text": "x"}
+    assert apply_steps(body, [DeltaStep(action=action, path=path)]).is_err()
+
+
+def create_large(generation: int):
+    """Returns a document of some 100 objects of which one changes."""
+    groups = [{"name": f"group-{number:03d}", "x": "y" * 50} for number in range(100)]
+    groups[generation]["x"] = "changed"
+    return create_document({"generation": generation, "groups": groups})
+
+
+def count_sent(network, message_type):
+    return sum(
+        isinstance(message, message_type)
+        for node in network.nodes.values()
+        for message in node._peers.sent
+    )
+
+
+def test_small_change_of_a_large_document_travels_as_a_delta():
+    network = Network()
+    nodes = [network.add(f"entry-{number}") for number in range(20)]
+    for node in nodes:
+        node.offer(create_large(1), source="platform")
+    network.queue.clear()
+    for node in nodes:
+        node._peers.sent.clear()
+    nodes[0].offer(create_large(2), source="proposal")
+    while network.run_round():
+        pass
+    assert sum(node.get(NAME).generation == 2 for node in nodes) >= 15
+    assert count_sent(network, DocumentDelta) >= 15
+    assert count_sent(network, DocumentBody) == 0
+
+
+def test_instance_that_is_behind_gets_the_changes_since_or_the_whole():
+    """Guards against a delta that is applied to another base."""
+    network = Network()
+    ahead, behind, foreign = (network.add(name) for name in ("a", "b", "c"))
+    behind.offer(create_large(1), source="platform")
+    foreign.offer(create_document({"generation": 1, "other": 1}), source="platform")
+    network.queue.clear()
+    for generation in (1, 2, 3, 4):
+        ahead.offer(create_large(generation), source="platform")
+    # Only the last push arrives.
+    network.queue = network.queue[-2:]
+    ahead._peers.sent.clear()
+    while network.run_round():
+        pass
+    assert behind.get(NAME) == foreign.get(NAME) == create_large(4)
+    sent = [type(message) for message in ahead._peers.sent]
+    assert sent.count(DocumentBody) == 1
+    assert sent.count(DocumentDelta) == 3
+
+
+def test_delta_that_does_not_make_its_hash_is_replaced_by_the_body():
+    network = Network()
+    ahead, behind = network.add("a"), network.add("b")
+    for node in (ahead, behind):
+        node.offer(create_large(1), source="platform")
+    network.queue.clear()
+    ahead.offer(create_large(2), source="platform")
+    ((sender, target, delta),) = network.queue
+    wrong = dataclasses.replace(delta, steps=delta.steps[:-1])
+    network.queue = [(sender, target, wrong)]
+    while network.run_round():
+        pass
+    assert behind.get(NAME) == create_large(2)
+    assert behind.describe()["problems"] == {}
