Keep a starting instance from holding watches on the platform

Cause: an instance that starts knows no other and takes itself for a watcher, so that each of 5 instances held three watches until their timeout of 10 s; the platform counts each.

Ruled out: waiting for the first change of members (the first of many comes before the others are known); a list in place of the first watch (a stale list with a new revision would hide the last change until the next full read).

After: 6, from the 2 chosen watchers, with a pause of 200 ms after the first read; an instance that was slower than that lets go at the watch's timeout.

Conclusion: the process test counts watches at the platform and watchers in the status.

--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -45,6 +45,9 @@
 WATCHED_PREFIXES = ("configuration/", "index/", "instances")
 # Without this document an instance is not ready, and asks its peers more often.
 FIRST_DOCUMENT = "configuration/current"
+# Pause after the first read. An instance that knows no other yet takes itself for a
+# watcher, and each start would hold a watch on each prefix until its timeout.
+MEMBERS_WAIT_MS = 200
 WATCH_KEY = "documents/watch"
 # Idle watches before the whole prefix is read again: a platform that restarted with
 # a higher revision gives no other sign of the changes that a watch has missed.
@@ -128,7 +131,7 @@
             self._changed.notify_all()
 
     def describe(self) -> dict:
-        """Returns the documents in force, the open problems and what is watched."""
+        """Returns the documents, the open problems and what is watched."""
         return {
             "documents": {
                 doc.name: {"generation": doc.generation, "hash": doc.hash}
@@ -155,9 +158,7 @@
     def offer_body(self, *, name: str, body: dict, source: str) -> bool:
         """Puts the body of a platform object in force; see `offer`."""
         match body.get("generation"):
-            case bool():
-                pass
-            case int(generation):
+            case int(generation) if not isinstance(generation, bool):
                 document = DocumentBody(
                     name=name, generation=generation, hash=hash_body(body), body=body
                 )
@@ -234,16 +235,16 @@
     def _report(self, name: str, problem: str, source: str) -> None:
         if not self._table.record_problem(name, problem):
             return
-        metrics.faults_total.inc({"step": "documents.take"})
-        error = DocumentError(
-            step="documents.take", peer=source, message=f"{name}: {problem}"
-        )
-        journal.record_fault(step="documents.take", peer=source, error=error)
+        step = "documents.take"
+        metrics.faults_total.inc({"step": step})
+        error = DocumentError(step=step, peer=source, message=f"{name}: {problem}")
+        journal.record_fault(step=step, peer=source, error=error)
 
     def _watch(self, prefix: str) -> None:
         backoff = Backoff(generator=self._random)
         revision = 0
         idle = 0
+        first_read = True
         while not self._stopping:
             if not self._must_read(prefix, first=revision == 0):
                 self._watching[prefix] = False
@@ -261,6 +262,9 @@
                     revision = changes.revision if idle < RELIST_AFTER_IDLE else 0
                     if advanced or self._was_long(started_ms):
                         backoff.reset()
+                        if first_read:
+                            self._pause(MEMBERS_WAIT_MS)
+                            first_read = False
                         continue
                 case Ok(changes):
                     journal.record_event(
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -116,6 +116,29 @@
         wait_for_generation(fleet, list(fleet.instances), 5)
 
 
+@pytest.mark.processes
+def test_only_the_chosen_watchers_watch_the_platform(tmp_path):
+    """Guards against a number of watches that grows with the fleet."""
+    fleet = Fleet(folder=tmp_path, shapes=SHAPES)
+
+    def count_watchers():
+        status = call(fleet, "entry-0", "GET", "/v1/status").body
+        return sum(
+            bool(instance["services"]["documents"]["watching"])
+            for instance in status["instances"]
+        )
+
+    # An instance that has taken itself for a watcher at its start lets go of the watch
+    # at its timeout.
+    overrides = {"platform": {"watch_timeout_ms": 1_000}}
+    with run_fleet(instances=5, fleet=fleet, overrides=overrides):
+        # Two watchers, three prefixes.
+        wait_until(
+            fleet,
+            lambda: count_watchers() == 2 and fleet.read_calls()["watch_open"] == 6,
+        )
+
+
 @pytest.mark.processes
 def test_object_that_does_not_decode_is_shown_and_never_in_force(tmp_path):
     """Guards against a bad object that takes the configuration from the fleet."""
