--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -1,12 +1,15 @@
 """Caller API over HTTP and JSON: query, health, metrics."""
 
 import dataclasses
+import math
+from typing import Annotated
 
 import cheroot.wsgi
 import pydantic
 from result import Err, Ok, Result
 
 from gooseberrymux import metrics, web
+from gooseberrymux.admission import Admission
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
 from gooseberrymux.kernel import Kernel, service
@@ -16,6 +19,7 @@
 from gooseberrymux.web import Request, Response
 
 REFUSAL_STATUS = {"no_route": 404, "overloaded": 429, "deadline_expired": 504}
+MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,10 +33,12 @@
     terms: dict
     labels: dict[str, str] = dataclasses.field(default_factory=dict)
     deadline_ms: int | None = None
-    minimum_coverage: float = 0.0
+    minimum_coverage: Annotated[float, pydantic.Field(ge=0.0, le=1.0)] = 0.0
 
 
-@service("api", requires=("queries", "calls", "configuration", "snapshots"))
+@service(
+    "api", requires=("queries", "calls", "configuration", "snapshots", "admission")
+)
 class Api:
     """Serves callers, one worker thread a connection."""
 
@@ -42,6 +48,7 @@
         "_calls",
         "_configuration",
         "_snapshots",
+        "_admission",
         "_server",
         "_draining",
     )
@@ -52,6 +59,7 @@
         self._calls = kernel.find("calls", Calls)
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
+        self._admission = kernel.find("admission", Admission)
         self._server: cheroot.wsgi.Server | None = None
         self._draining = False
 
@@ -97,6 +105,7 @@
 
     def _handle_query(self, request: Request) -> Response:
         settings = self._kernel.settings
+        started_ms = self._kernel.clock.now_ms()
         match web.read_json(request, limit_bytes=settings.api.body_limit_bytes):
             case Err(response):
                 return response
@@ -122,11 +131,21 @@
             deadline_ms=self._kernel.clock.now_ms() + deadline_ms,
             minimum_coverage=body.minimum_coverage,
         )
-        match self._queries.run(query):
+        with self._admission.hold(body.rank) as refused:
+            result = Err(refused) if refused else self._queries.run(query)
+        match result:
             case Ok(answer):
-                return web.create_json(status=200, body=describe_answer(answer))
+                outcome = "partial" if answer.missing else "complete"
+                response = web.create_json(status=200, body=describe_answer(answer))
             case Err(refusal):
-                return create_refusal(refusal)
+                outcome = refusal.code
+                response = create_refusal(refusal)
+        rank = body.rank.value
+        metrics.requests_total.inc({"kind": "query", "rank": rank, "outcome": outcome})
+        metrics.request_ms.observe(
+            {"kind": "query", "rank": rank}, self._kernel.clock.now_ms() - started_ms
+        )
+        return response
 
     def _handle_health(self) -> Response:
         state = "ready"
@@ -175,10 +194,15 @@
 
 
 def create_refusal(refusal: Refusal) -> Response:
-    """Returns the typed error of a refusal."""
-    return web.create_error(
+    """Returns the typed error of a refusal, with the hint when to try again."""
+    response = web.create_error(
         status=REFUSAL_STATUS.get(refusal.code, 503),
         code=refusal.code,
         message=refusal.message,
         run_state=refusal.run_state.value,
     )
+    if refusal.retry_after_ms is None:
+        return response
+    # The header counts whole seconds.
+    seconds = math.ceil(refusal.retry_after_ms / MS_PER_S)
+    return dataclasses.replace(response, headers={"Retry-After": str(seconds)})
--- a/packages/gooseberrymux/src/gooseberrymux/calls.py
+++ b/packages/gooseberrymux/src/gooseberrymux/calls.py
@@ -8,9 +8,12 @@
 
 from gooseberrymux import metrics
 from gooseberrymux.dispatch import Dispatch
+from gooseberrymux.evidence import NoEvidence, Observation, Overtaken
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.membership import Membership
+from gooseberrymux.lanes import REASON_CANCELLED
+from gooseberrymux.membership import MemberChanged, Membership
 from gooseberrymux.messages import (
+    CancelSubrequest,
     Subrequest,
     SubrequestCompleted,
     SubrequestNotRun,
@@ -20,17 +23,51 @@
 from gooseberrymux.ownership import find_owner
 from gooseberrymux.peers import PeerLost, Peers
 from gooseberrymux.records import InstanceIdentity, UpstreamRecord
+from gooseberrymux.routing import Routing, read_observation
+from gooseberrymux.settings import PolicySettings
 
 REASON_PEER_LOST = "peer_lost"
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerDispatch:
+    """Sub-requests go to the instance that owns their upstream's queue."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DirectDispatch:
+    """Each entry queues for each upstream by itself."""
+
+
+DispatchMode = OwnerDispatch | DirectDispatch
+
+
+def create_dispatch_mode(settings: PolicySettings) -> DispatchMode:
+    """Returns the dispatch mode that the settings name."""
+    match settings.dispatch:
+        case "owner":
+            return OwnerDispatch()
+        case "direct":
+            return DirectDispatch()
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Call:
-    """One sub-request in flight and the queue that waits for its outcome."""
+    """One sub-request in flight and the queue that waits for its outcome.
+
+    Attributes:
+        subrequest: What was sent.
+        owner: The instance that it was sent to.
+        incarnation: The run it was sent to; 0 if the owner had not been heard yet.
+        inbox: Gets the outcome.
+        sent_ms: When it was sent.
+    """
 
     subrequest: Subrequest
     owner: str
+    incarnation: int
     inbox: "Inbox"
+    sent_ms: float
 
 
 class Inbox:
@@ -61,7 +98,7 @@
             return outcomes
 
 
-@service("calls", requires=("peers", "membership", "dispatch"))
+@service("calls", requires=("peers", "membership", "dispatch", "routing"))
 class Calls:
     """Sub-requests of this entry in flight, by id, at whichever owner."""
 
@@ -70,8 +107,11 @@
         "_peers",
         "_membership",
         "_dispatch",
+        "_routing",
+        "_mode",
         "_calls",
-        "_in_flight",
+        "_owners",
+        "_view",
         "_lock",
         "_counter",
     )
@@ -81,13 +121,17 @@
         self._peers = kernel.find("peers", Peers)
         self._membership = kernel.find("membership", Membership)
         self._dispatch = kernel.find("dispatch", Dispatch)
+        self._routing = kernel.find("routing", Routing)
+        self._mode = create_dispatch_mode(kernel.settings.policy)
         self._calls: dict[str, Call] = {}
-        self._in_flight: dict[str, int] = {}
+        self._owners: dict[tuple[str, str], str] = {}
+        self._view = 0
         self._lock = threading.Lock()
         self._counter = itertools.count(1)
         for outcome_type in (SubrequestCompleted, SubrequestNotRun, SubrequestUnknown):
             self._peers.register(outcome_type, self._handle_outcome)
         kernel.subscribe(PeerLost, self._handle_lost)
+        kernel.subscribe(MemberChanged, self._handle_member)
 
     def start(self) -> None:
         """Nothing to start."""
@@ -103,27 +147,37 @@
         identity = self._peers.identity
         return f"{kind}-{identity.name}-{identity.incarnation:x}-{next(self._counter)}"
 
-    @property
-    def in_flight(self) -> dict[str, int]:
-        """Sub-requests of this entry in flight, by upstream."""
-        return self._in_flight
+    def count_in_flight(self) -> int:
+        """Returns the number of sub-requests in flight."""
+        return len(self._calls)
 
     def send(
         self, *, subrequest: Subrequest, upstream: UpstreamRecord, inbox: Inbox
     ) -> None:
         """Hands a sub-request to the upstream's owner; its outcome goes to `inbox`."""
         own_name = self._peers.identity.name
-        owner = own_name
-        if self._kernel.settings.policy.dispatch == "owner":
-            found = find_owner(upstream=upstream, members=self._membership.list_live())
-            owner = found.name if found else own_name
-        call = Call(subrequest=subrequest, owner=owner, inbox=inbox)
+        owner = self._find_owner(upstream)
+        call = Call(
+            subrequest=subrequest,
+            owner=owner,
+            incarnation=self._get_incarnation(owner),
+            inbox=inbox,
+            sent_ms=self._kernel.clock.now_ms(),
+        )
+        self._routing.begin(upstream)
         with self._lock:
             self._calls[subrequest.id] = call
-            self._in_flight[upstream.name] = self._in_flight.get(upstream.name, 0) + 1
         if owner == own_name:
             self._dispatch.submit(subrequest, self.finish)
             return
+        # The owner may have restarted between the two reads. Its loss was then either
+        # published before the call was listed, and nothing else would fail the call,
+        # or it has failed the call already, and nothing may be sent for it any more.
+        current = self._get_incarnation(owner)
+        if current != call.incarnation:
+            call.incarnation = current
+            if subrequest.id not in self._calls:
+                return
         match self._peers.send(owner, subrequest):
             case Err(error):
                 self.finish(
@@ -138,38 +192,150 @@
                 pass
 
     def finish(self, outcome: SubrequestOutcome) -> None:
-        """Passes an outcome to the thread that waits; drops what nobody waits for."""
+        """Passes an outcome to the thread that waits; drops what nobody waits for.
+
+        Only this instance's own outcomes come here; see `_handle_outcome` for those
+        of other owners.
+        """
         with self._lock:
             call = self._calls.pop(outcome.id, None)
-            if call is None:
-                metrics.dropped_total.inc({"reason": "late_or_foreign_outcome"})
-                return
-            self._in_flight[call.subrequest.upstream] -= 1
-        call.inbox.put(outcome)
+        if call is None:
+            count_dropped(outcome)
+        else:
+            self._deliver(call, outcome)
 
     def forget(self, subrequest_id: str) -> None:
         """Stops waiting for a sub-request; a later outcome is dropped."""
+        self._drop(subrequest_id, NoEvidence())
+
+    def cancel(self, subrequest_id: str, *, overtaken: bool = False) -> None:
+        """Stops waiting for a sub-request and tells its owner that it is not wanted.
+
+        Args:
+            subrequest_id: The sub-request.
+            overtaken: Whether another replica answered first, so that the time until
+                now says something on the upstream.
+        """
+        call = self._drop(subrequest_id, NoEvidence(), overtaken=overtaken)
+        if call is None:
+            return
+        if call.owner == self._peers.identity.name:
+            self._dispatch.cancel(subrequest_id, upstream=call.subrequest.upstream)
+        else:
+            self._send_cancel(call)
+
+    def _drop(
+        self, subrequest_id: str, observation: Observation, *, overtaken: bool = False
+    ) -> Call | None:
         with self._lock:
             call = self._calls.pop(subrequest_id, None)
-            if call:
-                self._in_flight[call.subrequest.upstream] -= 1
+        if call is None:
+            return None
+        if overtaken:
+            elapsed_ms = self._kernel.clock.now_ms() - call.sent_ms
+            observation = Overtaken(elapsed_ms=elapsed_ms)
+        self._routing.end(call.subrequest.upstream, observation)
+        return call
+
+    def _send_cancel(self, call: Call) -> None:
+        # A lost cancel only costs the work that it would have saved.
+        self._peers.send(
+            call.owner,
+            CancelSubrequest(id=call.subrequest.id, upstream=call.subrequest.upstream),
+        )
+
+    def _deliver(self, call: Call, outcome: SubrequestOutcome) -> None:
+        elapsed_ms = self._kernel.clock.now_ms() - call.sent_ms
+        self._routing.end(
+            call.subrequest.upstream, read_observation(outcome, elapsed_ms)
+        )
+        call.inbox.put(outcome)
+
+    def _find_owner(self, upstream: UpstreamRecord) -> str:
+        own_name = self._peers.identity.name
+        match self._mode:
+            case DirectDispatch():
+                return own_name
+            case OwnerDispatch():
+                # Hashing over thousands of members for each sub-request would cost
+                # more than the rest of it, so owners are kept until a member changes.
+                key = (upstream.name, upstream.failure_domain)
+                owner = self._owners.get(key)
+                if owner is None:
+                    view = self._view
+                    found = find_owner(
+                        upstream=upstream, members=self._membership.list_live()
+                    )
+                    owner = found.name if found else own_name
+                    with self._lock:
+                        if view == self._view:
+                            self._owners[key] = owner
+                return owner
+
+    def _get_incarnation(self, owner: str) -> int:
+        identity = self._peers.identity
+        if owner == identity.name:
+            return identity.incarnation
+        return self._peers.get_incarnation(owner)
 
     def _handle_outcome(
         self, sender: InstanceIdentity, outcome: SubrequestOutcome
     ) -> None:
-        self.finish(outcome)
+        with self._lock:
+            call = self._calls.get(outcome.id)
+            expected = call is not None and is_from_owner(call, sender)
+            if expected:
+                del self._calls[outcome.id]
+        if call is None:
+            count_dropped(outcome)
+        elif not expected:
+            metrics.dropped_total.inc({"reason": "outcome_from_other_owner"})
+        else:
+            self._deliver(call, outcome)
 
     def _handle_lost(self, event: PeerLost) -> None:
         with self._lock:
             lost = [
-                call for call in self._calls.values() if call.owner == event.instance
+                call
+                for call in self._calls.values()
+                # A call to a peer that had not been heard yet may have reached any
+                # run of it, so it can't be waited for either.
+                if call.owner == event.instance
+                and call.incarnation in (0, event.incarnation)
             ]
+            for call in lost:
+                del self._calls[call.subrequest.id]
+        same_run = self._peers.get_incarnation(event.instance) == event.incarnation
         for call in lost:
-            self.finish(
+            if same_run:
+                # A frozen owner that wakes up finds the cancel behind the request.
+                self._send_cancel(call)
+            self._deliver(
+                call,
                 SubrequestUnknown(
                     id=call.subrequest.id,
                     reason=REASON_PEER_LOST,
                     step="calls.wait",
                     peer=event.instance,
-                )
+                ),
             )
+
+    def _handle_member(self, event: MemberChanged) -> None:
+        with self._lock:
+            self._view += 1
+            self._owners.clear()
+
+
+def is_from_owner(call: Call, sender: InstanceIdentity) -> bool:
+    """Returns whether a sender is the run of the owner that a call was sent to."""
+    return sender.name == call.owner and call.incarnation in (0, sender.incarnation)
+
+
+def count_dropped(outcome: SubrequestOutcome) -> None:
+    """Counts an outcome that nobody waits for."""
+    match outcome:
+        case SubrequestNotRun(reason=reason) if reason == REASON_CANCELLED:
+            # The answer to this entry's own cancel.
+            pass
+        case _:
+            metrics.dropped_total.inc({"reason": "late_or_foreign_outcome"})
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -1,134 +1,69 @@
-"""Owner side: one rank queue for each upstream and a thread for each connection."""
+"""Owner side: hands sub-requests to the lanes of the upstreams it serves."""
 
-import dataclasses
+import collections
 import threading
-from collections.abc import Callable
 
 from gooseberrymux import journal, metrics
-from gooseberrymux.exchange import Exchange
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.messages import (
-    CancelSubrequest,
-    Subrequest,
-    SubrequestCompleted,
-    SubrequestNotRun,
-    SubrequestOutcome,
+from gooseberrymux.lanes import (
+    REASON_CANCELLED,
+    REASON_DEADLINE,
+    REASON_LEAVING,
+    REASON_QUEUE_FULL,
+    REASON_UNKNOWN_UPSTREAM,
+    Lane,
+    LaneClosed,
+    Queued,
+    QueuedItem,
+    Refused,
+    Reply,
+    refuse,
 )
+from gooseberrymux.messages import CancelSubrequest, Subrequest, SubrequestOutcome
 from gooseberrymux.peers import Peers
-from gooseberrymux.records import InstanceIdentity, Rank, UpstreamRecord
-from gooseberrymux.schedule import RankQueue, create_policy
+from gooseberrymux.records import InstanceIdentity, UpstreamRecord
 
-REASON_QUEUE_FULL = "queue_full"
-REASON_DEADLINE = "deadline_unreachable"
-REASON_CANCELLED = "cancelled"
-REASON_LEAVING = "instance_leaving"
-REASON_UNKNOWN_UPSTREAM = "unknown_upstream"
+# Ids remembered to drop a sub-request that arrives twice; at 2,000 a second this is
+# eight seconds, far longer than a link repeats a frame.
+RECENT_LIMIT = 16_384
 
-Reply = Callable[[SubrequestOutcome], None]
 
+class RecentIds:
+    """The last ids that were seen, at most `RECENT_LIMIT`."""
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class QueuedItem:
-    """A queued sub-request and where its outcome goes."""
+    __slots__ = ("_order", "_known", "_lock")
 
-    subrequest: Subrequest
-    reply: Reply
-    queued_at_ms: float
-    deadline_ms: float
-
-
-class Lane:
-    """The queue and the connection threads of one upstream."""
-
-    __slots__ = ("record", "_kernel", "_queue", "_changed", "_closed", "_running")
-
-    def __init__(self, *, kernel: Kernel, record: UpstreamRecord):
-        self.record = record
-        self._kernel = kernel
-        limits = {
-            rank: getattr(kernel.settings.ranks, rank.value).queue_limit
-            for rank in Rank
-        }
-        self._queue = RankQueue(policy=create_policy(kernel.settings), limits=limits)
-        self._changed = threading.Condition()
-        self._closed = False
-        self._running = 0
+    def __init__(self):
+        self._order: collections.deque[str] = collections.deque()
+        self._known: set[str] = set()
+        self._lock = threading.Lock()
 
-    def start(self) -> None:
-        """Starts one thread for each connection."""
-        for number in range(min(self.record.slots, self.record.connections)):
-            self._kernel.spawn(
-                name=f"dispatch.{self.record.name}.{number}", target=self._serve
-            )
-
-    def put(self, item: QueuedItem) -> bool:
-        """Queues an item; returns False if its rank's queue is full."""
-        with self._changed:
-            if self._closed:
+    def add(self, seen: str) -> bool:
+        """Remembers an id; returns False if it was known."""
+        with self._lock:
+            if seen in self._known:
                 return False
-            queued = self._queue.put(item.subrequest.rank, item)
-            if queued:
-                self._changed.notify()
-            return queued
-
-    def cancel(self, subrequest_id: str) -> list[QueuedItem]:
-        """Removes a queued item."""
-        with self._changed:
-            return self._queue.remove(lambda item: item.subrequest.id == subrequest_id)
-
-    def close(self) -> list[QueuedItem]:
-        """Ends the threads after the running exchanges; returns what was queued."""
-        with self._changed:
-            self._closed = True
-            self._changed.notify_all()
-            return self._queue.remove(lambda item: True)
-
-    @property
-    def running(self) -> int:
-        """Exchanges in flight."""
-        return self._running
-
-    def count_by_rank(self) -> dict[Rank, int]:
-        """Returns the number of queued items of each rank."""
-        with self._changed:
-            return self._queue.count_by_rank()
-
-    def _serve(self) -> None:
-        exchange = Exchange(record=self.record, clock=self._kernel.clock)
-        while (item := self._take()) is not None:
-            outcome = self._run(exchange, item)
-            with self._changed:
-                self._running -= 1
-            item.reply(outcome)
-        exchange.close()
-
-    def _take(self) -> QueuedItem | None:
-        with self._changed:
-            while True:
-                item = self._queue.take()
-                if item is not None:
-                    self._running += 1
-                    return item
-                if self._closed:
-                    return None
-                self._kernel.clock.wait(self._changed, None)
-
-    def _run(self, exchange: Exchange, item: QueuedItem) -> SubrequestOutcome:
-        now_ms = self._kernel.clock.now_ms()
-        if now_ms >= item.deadline_ms:
-            return refuse(item.subrequest, REASON_DEADLINE, self.record.name)
-        outcome = exchange.run(item.subrequest, item.deadline_ms)
-        if isinstance(outcome, SubrequestCompleted):
-            return dataclasses.replace(outcome, queued_ms=now_ms - item.queued_at_ms)
-        return outcome
+            self._known.add(seen)
+            self._order.append(seen)
+            if len(self._order) > RECENT_LIMIT:
+                self._known.discard(self._order.popleft())
+            return True
 
 
 @service("dispatch", requires=("peers", "inventory"))
 class Dispatch:
     """The lanes of the upstreams that this instance serves."""
 
-    __slots__ = ("_kernel", "_peers", "_inventory", "_lanes", "_lock", "_draining")
+    __slots__ = (
+        "_kernel",
+        "_peers",
+        "_inventory",
+        "_lanes",
+        "_lock",
+        "_draining",
+        "_recent",
+    )
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
@@ -137,6 +72,7 @@
         self._lanes: dict[str, Lane] = {}
         self._lock = threading.Lock()
         self._draining = False
+        self._recent = RecentIds()
         self._peers.register(Subrequest, self._handle_subrequest)
         self._peers.register(CancelSubrequest, self._handle_cancel)
 
@@ -145,7 +81,9 @@
 
     def drain(self, deadline_ms: float) -> None:
         """Hands queued sub-requests back as not run."""
-        self._draining = True
+        with self._lock:
+            # Under the lock, so that no lane opens after the list below was taken.
+            self._draining = True
         for lane in list(self._lanes.values()):
             for item in lane.close():
                 item.reply(refuse(item.subrequest, REASON_LEAVING, lane.record.name))
@@ -155,63 +93,119 @@
         for lane in list(self._lanes.values()):
             lane.close()
 
-    def submit(self, subrequest: Subrequest, reply: Reply) -> None:
+    def describe(self) -> dict:
+        """Returns the lanes' queues for the status."""
+        return {
+            "draining": self._draining,
+            "lanes": {
+                name: {
+                    "running": lane.running,
+                    "queued": {
+                        rank.value: count
+                        for rank, count in lane.count_by_rank().items()
+                    },
+                }
+                for name, lane in list(self._lanes.items())
+            },
+        }
+
+    def submit(
+        self, subrequest: Subrequest, reply: Reply, *, requester: str = ""
+    ) -> None:
         """Queues a sub-request for its upstream.
 
         Args:
             subrequest: What to run.
             reply: Called once with the outcome, from any thread; must not block.
+            requester: Instance that may cancel it; empty for this one.
         """
         record = self._inventory.describe(subrequest.upstream)
         if record is None:
             reply(refuse(subrequest, REASON_UNKNOWN_UPSTREAM, subrequest.upstream))
             return
-        if self._draining:
-            reply(refuse(subrequest, REASON_LEAVING, subrequest.upstream))
-            return
         now_ms = self._kernel.clock.now_ms()
         item = QueuedItem(
             subrequest=subrequest,
             reply=reply,
+            requester=requester,
             queued_at_ms=now_ms,
             deadline_ms=now_ms + subrequest.remaining_ms,
         )
-        if not self._open_lane(record).put(item):
-            reply(refuse(subrequest, REASON_QUEUE_FULL, subrequest.upstream))
-
-    def cancel(self, subrequest_id: str) -> None:
-        """Drops a queued sub-request whose result is no longer wanted."""
-        for lane in list(self._lanes.values()):
-            for item in lane.cancel(subrequest_id):
-                item.reply(refuse(item.subrequest, REASON_CANCELLED, lane.record.name))
-
-    def _open_lane(self, record: UpstreamRecord) -> Lane:
+        while not self._draining:
+            lane = self._open_lane(record)
+            if lane is None:
+                break
+            match self._put(lane, item):
+                case Queued():
+                    return
+                case Refused(reason=reason, queue_wait_ms=wait_ms):
+                    reply(refuse(subrequest, reason, record.name, wait_ms))
+                    return
+                case LaneClosed():
+                    # It closed for idleness just now; the next round opens another.
+                    self._remove_lane(lane)
+        reply(refuse(subrequest, REASON_LEAVING, subrequest.upstream))
+
+    def cancel(self, subrequest_id: str, *, upstream: str, requester: str = "") -> None:
+        """Drops a sub-request whose result is no longer wanted.
+
+        A queued one is removed; for one in flight the upstream is asked to stop.
+        """
+        lane = self._lanes.get(upstream)
+        if lane is None:
+            return
+        for item in lane.cancel(subrequest_id=subrequest_id, requester=requester):
+            item.reply(refuse(item.subrequest, REASON_CANCELLED, lane.record.name))
+
+    def _put(self, lane: Lane, item: QueuedItem) -> Queued | Refused | LaneClosed:
+        result = lane.put(item)
+        match result:
+            case Refused(reason=reason) if reason == REASON_QUEUE_FULL:
+                expired = lane.take_expired()
+                for old in expired:
+                    old.reply(refuse(old.subrequest, REASON_DEADLINE, lane.record.name))
+                return lane.put(item) if expired else result
+            case _:
+                return result
+
+    def _open_lane(self, record: UpstreamRecord) -> Lane | None:
+        lane = self._lanes.get(record.name)
+        if lane is not None and lane.record is record:
+            return lane
         with self._lock:
+            if self._draining:
+                return None
             lane = self._lanes.get(record.name)
             if lane is None:
-                lane = Lane(kernel=self._kernel, record=record)
+                lane = Lane(
+                    kernel=self._kernel, record=record, on_idle=self._remove_lane
+                )
                 self._lanes[record.name] = lane
                 lane.start()
                 journal.record_event("dispatch.lane_opened", upstream=record.name)
+            elif lane.record is not record:
+                lane.follow(record)
             return lane
 
+    def _remove_lane(self, lane: Lane) -> None:
+        with self._lock:
+            if self._lanes.get(lane.record.name) is lane and not self._draining:
+                del self._lanes[lane.record.name]
+
     def _handle_subrequest(self, sender: InstanceIdentity, message: Subrequest) -> None:
+        if not self._recent.add(message.id):
+            metrics.dropped_total.inc({"reason": "repeated_subrequest"})
+            return
+
         def send_outcome(outcome: SubrequestOutcome) -> None:
             if self._peers.get_incarnation(sender.name) == sender.incarnation:
                 self._peers.send(sender.name, outcome)
             else:
                 metrics.dropped_total.inc({"reason": "requester_restarted"})
 
-        self.submit(message, send_outcome)
+        self.submit(message, send_outcome, requester=sender.name)
 
     def _handle_cancel(
         self, sender: InstanceIdentity, message: CancelSubrequest
     ) -> None:
-        self.cancel(message.id)
-
-
-def refuse(subrequest: Subrequest, reason: str, peer: str) -> SubrequestNotRun:
-    """Returns the outcome of a sub-request that was never sent."""
-    return SubrequestNotRun(
-        id=subrequest.id, reason=reason, step="dispatch.submit", peer=peer
-    )
+        self.cancel(message.id, upstream=message.upstream, requester=sender.name)
--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -5,11 +5,15 @@
 """
 
 import http.client
-import json
+import io
+import socket
 
+import msgspec
 import urllib3
 from result import Err, Ok, Result
+from urllib3.util.connection import create_connection
 
+from gooseberrymux import metrics
 from gooseberrymux.clock import Clock
 from gooseberrymux.messages import (
     Subrequest,
@@ -21,28 +25,74 @@
 from gooseberrymux.records import UpstreamRecord
 
 REASON_CONNECT = "connect_failed"
+REASON_DEADLINE = "deadline_unreachable"
 REASON_BROKEN = "connection_broken"
 REASON_TIMEOUT = "timeout"
 REASON_MALFORMED = "malformed_reply"
+REASON_SHED = "shed"
+REASON_VERSION_GONE = "version_gone"
+REASON_WRONG_SHARD = "wrong_shard"
 CONNECT_TIMEOUT_MS = 500
+CANCEL_TIMEOUT_MS = 500
 REPLY_LIMIT_BYTES = 4 * 1024 * 1024
+READ_BUFFER_BYTES = 16 * 1024
+# An order does not go out on a connection that was idle longer: HTTP servers close
+# idle connections after a few seconds, and one that closes while the order is being
+# written leaves it unknown. A query can be retried and keeps the connection.
+ORDER_IDLE_LIMIT_MS = 2_000
+
+NODELAY = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
+
+_encoder = msgspec.json.Encoder()
+_decoder = msgspec.json.Decoder(dict)
+
+
+class DeadlineReader(io.RawIOBase):
+    """Raw reads from a socket that all together end at one deadline.
+
+    A socket timeout alone starts anew with each byte, so that an upstream that sends
+    a byte from time to time could hold a connection for ever.
+    """
+
+    __slots__ = ("_socket", "_clock", "_deadline_ms")
+
+    def __init__(self, *, sock: socket.socket, clock: Clock, deadline_ms: float):
+        self._socket = sock
+        self._clock = clock
+        self._deadline_ms = deadline_ms
+
+    def readable(self) -> bool:
+        """Returns True."""
+        return True
+
+    def readinto(self, buffer) -> int:
+        """Reads what is there, waiting for the first byte until the deadline."""
+        set_timeout(self._socket, self._deadline_ms - self._clock.now_ms())
+        return self._socket.recv_into(buffer)
+
+    def makefile(self, mode: str) -> io.BufferedReader:
+        """Returns the buffered reader that `http.client` asks a socket for."""
+        return io.BufferedReader(self, READ_BUFFER_BYTES)
 
 
 class Exchange:
     """One kept connection with one upstream, used by one thread at a time."""
 
-    __slots__ = ("_record", "_clock", "_connection")
+    __slots__ = ("record", "_clock", "_socket", "_head", "_written", "_used_ms")
 
     def __init__(self, *, record: UpstreamRecord, clock: Clock):
-        self._record = record
+        self.record = record
         self._clock = clock
-        self._connection: urllib3.connection.HTTPConnection | None = None
+        self._socket: socket.socket | None = None
+        self._head = f"Host: {record.host}:{record.port}\r\n"
+        self._written = 0
+        self._used_ms = 0.0
 
     def close(self) -> None:
         """Closes the connection if it is open."""
-        if self._connection:
-            self._connection.close()
-            self._connection = None
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
 
     def run(self, subrequest: Subrequest, deadline_ms: float) -> SubrequestOutcome:
         """Sends a sub-request and reads its reply.
@@ -51,68 +101,120 @@
             subrequest: What to send.
             deadline_ms: Monotonic time in milliseconds at which to give up.
         """
-        try:
-            self._connect()
-        except (OSError, urllib3.exceptions.HTTPError):
-            self.close()
-            return SubrequestNotRun(
-                id=subrequest.id,
-                reason=REASON_CONNECT,
-                step="upstream.connect",
-                peer=self._record.name,
-            )
         started_ms = self._clock.now_ms()
+        self._written = 0
+        if subrequest.order_key and started_ms - self._used_ms > ORDER_IDLE_LIMIT_MS:
+            self.close()
+        request = self._create_request(
+            "/orders" if subrequest.order_key else "/query",
+            create_body(subrequest),
+            f"X-Deadline-Ms: {int(deadline_ms - started_ms)}\r\n"
+            f"X-Rank: {subrequest.rank.value}\r\n",
+        )
         try:
-            status, decoded = self._send(subrequest, deadline_ms - started_ms)
-        except TimeoutError:
-            return self._fail(subrequest, REASON_TIMEOUT)
-        except ValueError:
+            self._write(request, deadline_ms)
+            status, decoded = self._read(deadline_ms)
+        except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError) as e:
+            if not self._written and self._clock.now_ms() >= deadline_ms:
+                return self._fail(subrequest, REASON_DEADLINE)
+            return self._fail(subrequest, name_failure(e))
+        except (ValueError, msgspec.MsgspecError, RecursionError):
             return self._fail(subrequest, REASON_MALFORMED)
-        except (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException):
-            return self._fail(subrequest, REASON_BROKEN)
         elapsed_ms = self._clock.now_ms() - started_ms
         return self._read_reply(subrequest, status, decoded, elapsed_ms)
 
-    def _connect(self) -> None:
-        if self._connection is not None:
-            return
-        connection = urllib3.connection.HTTPConnection(
-            self._record.host,
-            self._record.port,
-            timeout=CONNECT_TIMEOUT_MS / 1000,
+    def cancel(self, subrequest_id: str) -> bool:
+        """Asks the upstream to stop running a sub-request; returns whether it heard."""
+        request = self._create_request("/cancel", {"request_id": subrequest_id}, "")
+        deadline_ms = self._clock.now_ms() + CANCEL_TIMEOUT_MS
+        self._written = 0
+        try:
+            self._write(request, deadline_ms)
+            self._read(deadline_ms)
+        except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError):
+            self.close()
+            return False
+        except (ValueError, msgspec.MsgspecError, RecursionError):
+            self.close()
+        return True
+
+    def _create_request(self, path: str, body: dict, headers: str) -> bytes:
+        # Head and body go out in one segment; http.client would send two.
+        encoded = _encoder.encode(body)
+        head = (
+            f"POST {path} HTTP/1.1\r\n{self._head}{headers}"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(encoded)}\r\n\r\n"
         )
-        connection.connect()
-        self._connection = connection
-
-    def _send(self, subrequest: Subrequest, budget_ms: float) -> tuple[int, dict]:
-        connection = self._connection
-        assert connection is not None and connection.sock is not None
-        connection.sock.settimeout(max(1.0, budget_ms) / 1000)
-        path = "/orders" if subrequest.order_key else "/query"
-        connection.request(
-            "POST",
-            path,
-            body=json.dumps(create_body(subrequest)).encode(),
-            headers={
-                "Content-Type": "application/json",
-                "X-Deadline-Ms": str(int(budget_ms)),
-                "X-Rank": subrequest.rank.value,
-            },
-            preload_content=False,
+        return head.encode("latin-1") + encoded
+
+    def _write(self, request: bytes, deadline_ms: float) -> None:
+        kept = self._connect(deadline_ms)
+        try:
+            self._write_all(request, deadline_ms)
+        except OSError:
+            # Nothing was written on a kept connection that the upstream had closed,
+            # so a new connection is tried.
+            if not kept or self._written or self._clock.now_ms() >= deadline_ms:
+                raise
+            self.close()
+            self._connect(deadline_ms)
+            self._write_all(request, deadline_ms)
+
+    def _connect(self, deadline_ms: float) -> bool:
+        """Opens the connection; returns whether a kept one is used."""
+        if self._socket is not None:
+            # A kept connection that is readable before anything was asked was closed
+            # by the upstream or holds a reply that nobody waits for.
+            if not urllib3.util.wait_for_read(self._socket, timeout=0.0):
+                return True
+            metrics.dropped_total.inc({"reason": "idle_connection_readable"})
+            self.close()
+        left_ms = min(CONNECT_TIMEOUT_MS, deadline_ms - self._clock.now_ms())
+        if left_ms <= 0:
+            raise TimeoutError("deadline passed before connecting")
+        self._socket = create_connection(
+            (self.record.host, self.record.port),
+            timeout=left_ms / 1000,
+            socket_options=NODELAY,
         )
-        response = connection.getresponse()
+        return False
+
+    def _write_all(self, request: bytes, deadline_ms: float) -> None:
+        # `sendall` does not tell how much it wrote before an error; a first `send`
+        # that raises has written nothing.
+        assert self._socket is not None
+        set_timeout(self._socket, deadline_ms - self._clock.now_ms())
+        self._written = self._socket.send(request)
+        while self._written < len(request):
+            set_timeout(self._socket, deadline_ms - self._clock.now_ms())
+            self._written += self._socket.send(memoryview(request)[self._written :])
+
+    def _read(self, deadline_ms: float) -> tuple[int, dict]:
+        assert self._socket is not None
+        reader = DeadlineReader(
+            sock=self._socket, clock=self._clock, deadline_ms=deadline_ms
+        )
+        # `http.client` needs of a socket only `makefile`.
+        response = http.client.HTTPResponse(reader, method="POST")  # type: ignore
+        response.begin()
+        if (response.length or 0) > REPLY_LIMIT_BYTES:
+            raise ValueError("oversized reply")
         data = response.read(REPLY_LIMIT_BYTES + 1)
         if len(data) > REPLY_LIMIT_BYTES:
             raise ValueError("oversized reply")
-        decoded = json.loads(data)
-        if not isinstance(decoded, dict):
-            raise ValueError("reply is not an object")
-        return response.status, decoded
+        if response.length:
+            raise http.client.IncompleteRead(data, response.length)
+        if response.will_close:
+            self.close()
+        self._used_ms = self._clock.now_ms()
+        return response.status, _decoder.decode(data)
 
     def _read_reply(
         self, subrequest: Subrequest, status: int, decoded: dict, elapsed_ms: float
     ) -> SubrequestOutcome:
         if decoded.get("request_id") != subrequest.id:
+            metrics.dropped_total.inc({"reason": "foreign_reply"})
             return self._fail(subrequest, REASON_MALFORMED)
         match read_status(status, decoded):
             case Ok(reply):
@@ -124,32 +226,68 @@
                     upstream_ms=elapsed_ms,
                     queued_ms=0.0,
                 )
-            case Err(reason) if decoded.get("not_run") is True:
+            case Err(reason) if decoded.get("not_run") is True and status != 200:
                 return SubrequestNotRun(
                     id=subrequest.id,
                     reason=reason,
                     step="upstream.reply",
-                    peer=self._record.name,
+                    peer=self.record.name,
                 )
             case Err(reason):
                 return SubrequestUnknown(
                     id=subrequest.id,
                     reason=reason,
                     step="upstream.reply",
-                    peer=self._record.name,
+                    peer=self.record.name,
                 )
 
-    def _fail(self, subrequest: Subrequest, reason: str) -> SubrequestUnknown:
+    def _fail(
+        self, subrequest: Subrequest, reason: str
+    ) -> SubrequestNotRun | SubrequestUnknown:
         # A connection with a reply outstanding would give it to the next request.
         self.close()
+        if not self._written:
+            return SubrequestNotRun(
+                id=subrequest.id,
+                reason=reason if reason == REASON_DEADLINE else REASON_CONNECT,
+                step="upstream.connect",
+                peer=self.record.name,
+            )
+        metrics.dropped_total.inc({"reason": f"reply_{reason}"})
         return SubrequestUnknown(
             id=subrequest.id,
             reason=reason,
             step="upstream.exchange",
-            peer=self._record.name,
+            peer=self.record.name,
         )
 
 
+def set_timeout(sock: socket.socket, left_ms: float) -> None:
+    """Sets the timeout of the next operation, or raises TimeoutError if none is left.
+
+    Raises:
+        TimeoutError: No time is left; a timeout of 0 would mean not to wait at all.
+    """
+    if left_ms <= 0:
+        raise TimeoutError("deadline passed")
+    sock.settimeout(left_ms / 1000)
+
+
+def name_failure(error: Exception) -> str:
+    """Returns the reason of an exchange that broke off."""
+    match error:
+        case TimeoutError():
+            return REASON_TIMEOUT
+        case http.client.RemoteDisconnected():
+            return REASON_BROKEN
+        case http.client.IncompleteRead():
+            return REASON_BROKEN
+        case http.client.HTTPException():
+            return REASON_MALFORMED
+        case _:
+            return REASON_BROKEN
+
+
 def create_body(subrequest: Subrequest) -> dict:
     """Returns what the upstream gets."""
     if subrequest.order_key:
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/gather.py
@@ -0,0 +1,385 @@
+"""One query on one index version: fan-out, hedges, retries, merge."""
+
+import dataclasses
+import heapq
+
+from gooseberrymux import metrics
+from gooseberrymux.budgets import Budgets
+from gooseberrymux.calls import REASON_PEER_LOST, Calls, Inbox
+from gooseberrymux.clock import Clock
+from gooseberrymux.exchange import (
+    REASON_CONNECT,
+    REASON_MALFORMED,
+    REASON_VERSION_GONE,
+    REASON_WRONG_SHARD,
+)
+from gooseberrymux.inventory import Inventory
+from gooseberrymux.lanes import REASON_LEAVING, REASON_UNKNOWN_UPSTREAM
+from gooseberrymux.latency import Latencies
+from gooseberrymux.messages import (
+    Subrequest,
+    SubrequestCompleted,
+    SubrequestNotRun,
+    SubrequestOutcome,
+    SubrequestUnknown,
+)
+from gooseberrymux.records import MissingShard, Query, UpstreamRecord
+from gooseberrymux.routing import Routing
+from gooseberrymux.selectors import Route
+from gooseberrymux.snapshots import Snapshot, Snapshots
+
+REASON_QUERY_DEADLINE = "deadline"
+REASON_NO_REPLICA = "no_replica"
+REASON_OTHER_SNAPSHOT = "reply_of_other_snapshot"
+# After all replicas of a shard were tried; doubles with each round.
+RETRY_BACKOFF_MS = 10.0
+# The rounds wait 150 ms in all. Waiting for a lost shard until the deadline would keep
+# a request's place at the entry for seconds, and a few such queries would fill it.
+RETRY_ROUNDS = 4
+# A replica that turned a version away may only lag behind, or the newer version's
+# document may still be on its way; both pass within this time or not soon.
+VERSION_WAIT_MS = 500.0
+VERSION_RETRY_LIMIT_MS = 160.0
+
+# The upstream names another version or shard map than the pinned one.
+REASONS_STALE = frozenset(
+    {REASON_VERSION_GONE, REASON_WRONG_SHARD, REASON_OTHER_SNAPSHOT}
+)
+# The sub-request never reached an upstream, or was turned away for its version, so
+# that a retry is no extra load and needs no budget. A lost owner takes many calls
+# with it at once and each fails over only once, so that the budget, which would run
+# out, does not apply to it either.
+REASONS_UNBUDGETED = REASONS_STALE | {
+    REASON_CONNECT,
+    REASON_PEER_LOST,
+    REASON_LEAVING,
+    REASON_UNKNOWN_UPSTREAM,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Gathered:
+    """What the shards of one version gave.
+
+    Attributes:
+        snapshot: The version.
+        hits: Replies by covered shard.
+        missing: The other shards.
+    """
+
+    snapshot: Snapshot
+    hits: dict[str, list]
+    missing: tuple[MissingShard, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VersionReplaced:
+    """The pinned version went away and a newer one is known."""
+
+    newer: Snapshot
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HedgeDue:
+    """A shard's first attempt has taken as long as the hedge delay."""
+
+    shard: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RetryDue:
+    """A shard may be tried again after all its replicas were tried."""
+
+    shard: str
+
+
+Timer = HedgeDue | RetryDue
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """One sub-request of a shard that is in flight."""
+
+    shard: str
+    upstream: str
+    cause: str
+    sent_ms: float
+
+
+class ShardState:
+    """Progress of one shard."""
+
+    __slots__ = ("service", "in_flight", "tried", "rounds", "hedged", "reason")
+
+    def __init__(self, *, service: str):
+        self.service = service
+        self.in_flight: list[str] = []
+        self.tried: set[str] = set()
+        self.rounds = 0
+        self.hedged = False
+        self.reason = REASON_QUERY_DEADLINE
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Toolbox:
+    """What every gathering of this instance works with."""
+
+    calls: Calls
+    inventory: Inventory
+    routing: Routing
+    snapshots: Snapshots
+    budgets: Budgets
+    latencies: Latencies
+    clock: Clock
+    cancel_losers: bool
+
+
+class Gathering:
+    """A query's sub-requests on one version, in the caller's thread."""
+
+    __slots__ = (
+        "_query",
+        "_route",
+        "_snapshot",
+        "_tools",
+        "_inbox",
+        "_shards",
+        "_attempts",
+        "_hits",
+        "_missing",
+        "_timers",
+        "_timer_count",
+        "_stale_until_ms",
+        "may_have_run",
+    )
+
+    def __init__(
+        self, *, query: Query, route: Route, snapshot: Snapshot, tools: Toolbox
+    ):
+        self._query = query
+        self._route = route
+        self._snapshot = snapshot
+        self._tools = tools
+        self._inbox = Inbox(clock=tools.clock)
+        self._shards = {
+            shard: ShardState(service=service)
+            for shard, service in snapshot.shards.items()
+        }
+        self._attempts: dict[str, Attempt] = {}
+        self._hits: dict[str, list] = {}
+        self._missing: dict[str, str] = {}
+        self._timers: list[tuple[float, int, Timer]] = []
+        self._timer_count = 0
+        self._stale_until_ms: float | None = None
+        self.may_have_run = False
+
+    def run(self) -> Gathered | VersionReplaced:
+        """Gathers until all shards are settled, the deadline, or a newer version."""
+        try:
+            return self._gather()
+        finally:
+            self._abandon(list(self._attempts))
+
+    def _gather(self) -> Gathered | VersionReplaced:
+        clock, deadline_ms = self._tools.clock, self._query.deadline_ms
+        for shard in self._shards:
+            self._send(shard, "first")
+        while self._count_open() and clock.now_ms() < deadline_ms:
+            next_ms = self._timers[0][0] if self._timers else deadline_ms
+            for outcome in self._inbox.take(min(next_ms, deadline_ms)):
+                self._handle_outcome(outcome)
+            if newer := self._find_newer():
+                return VersionReplaced(newer=newer)
+            self._run_timers()
+        for shard, state in self._shards.items():
+            if shard not in self._hits and shard not in self._missing:
+                self._missing[shard] = state.reason
+        return Gathered(
+            snapshot=self._snapshot,
+            hits=self._hits,
+            missing=tuple(
+                MissingShard(shard=shard, reason=reason)
+                for shard, reason in sorted(self._missing.items())
+            ),
+        )
+
+    def _count_open(self) -> int:
+        return len(self._shards) - len(self._hits) - len(self._missing)
+
+    def _find_newer(self) -> Snapshot | None:
+        """Returns the version to restart on, once an upstream turned this one away."""
+        if self._stale_until_ms is None:
+            return None
+        return self._tools.snapshots.find_newer(self._snapshot)
+
+    def _handle_outcome(self, outcome: SubrequestOutcome) -> None:
+        attempt = self._attempts.pop(outcome.id, None)
+        if attempt is None:
+            metrics.dropped_total.inc({"reason": "outcome_not_waited_for"})
+            return
+        state = self._shards[attempt.shard]
+        state.in_flight.remove(outcome.id)
+        metrics.subrequests_total.inc(
+            {"cause": attempt.cause, "outcome": type(outcome).__name__}
+        )
+        if attempt.shard in self._hits:
+            # Two replicas answered at the same time; the first one counts.
+            return
+        match outcome:
+            case SubrequestCompleted(version=version, shard=shard, reply=reply):
+                self.may_have_run = True
+                if version != self._snapshot.version or shard != attempt.shard:
+                    metrics.dropped_total.inc({"reason": REASON_OTHER_SNAPSHOT})
+                    self._fail(attempt, REASON_OTHER_SNAPSHOT)
+                elif isinstance(hits := reply.get("hits"), list):
+                    self._merge(attempt, hits)
+                else:
+                    metrics.dropped_total.inc({"reason": "reply_without_hits"})
+                    self._fail(attempt, REASON_MALFORMED)
+            case SubrequestNotRun(reason=reason):
+                self._fail(attempt, reason)
+            case SubrequestUnknown(reason=reason):
+                self.may_have_run = True
+                self._fail(attempt, reason)
+
+    def _merge(self, attempt: Attempt, hits: list) -> None:
+        self._hits[attempt.shard] = hits
+        state = self._shards[attempt.shard]
+        self._tools.latencies.record(
+            service_name=state.service,
+            rank=self._query.traffic.rank,
+            duration_ms=self._tools.clock.now_ms() - attempt.sent_ms,
+        )
+        # A loser's time is kept out of the latency sketch: it would raise the hedge
+        # delay to a straggler's time and so switch the hedging off.
+        self._abandon(list(state.in_flight), overtaken=True)
+
+    def _fail(self, attempt: Attempt, reason: str) -> None:
+        state = self._shards[attempt.shard]
+        state.reason = reason
+        if reason in REASONS_STALE and self._stale_until_ms is None:
+            # Half of the time left is kept for a restart.
+            now_ms = self._tools.clock.now_ms()
+            left_ms = self._query.deadline_ms - now_ms
+            self._stale_until_ms = now_ms + min(VERSION_WAIT_MS, left_ms / 2)
+        if state.in_flight or self._find_newer():
+            # The other copy may still answer, or the whole query starts again.
+            return
+        if reason not in REASONS_UNBUDGETED and not self._tools.budgets.take_retry(
+            self._query.traffic.rank
+        ):
+            self._missing[attempt.shard] = reason
+            return
+        if not self._send(attempt.shard, "retry"):
+            self._back_off(attempt.shard, state)
+
+    def _back_off(self, shard: str, state: ShardState) -> None:
+        """Plans another round over all replicas, or settles the shard as missing."""
+        now_ms = self._tools.clock.now_ms()
+        backoff_ms = RETRY_BACKOFF_MS * 2**state.rounds
+        if state.reason in REASONS_STALE:
+            backoff_ms = min(VERSION_RETRY_LIMIT_MS, backoff_ms)
+            worthwhile = now_ms + backoff_ms <= (self._stale_until_ms or 0.0)
+        else:
+            worthwhile = state.rounds < RETRY_ROUNDS
+        if not worthwhile:
+            self._missing[shard] = state.reason
+            return
+        state.rounds += 1
+        state.tried.clear()
+        self._set_timer(now_ms + backoff_ms, RetryDue(shard=shard))
+
+    def _set_timer(self, due_ms: float, timer: Timer) -> None:
+        self._timer_count += 1
+        heapq.heappush(self._timers, (due_ms, self._timer_count, timer))
+
+    def _run_timers(self) -> None:
+        now_ms = self._tools.clock.now_ms()
+        while self._timers and self._timers[0][0] <= now_ms:
+            match heapq.heappop(self._timers)[2]:
+                case HedgeDue(shard=shard):
+                    self._hedge(shard)
+                case RetryDue(shard=shard):
+                    if not self._send(shard, "retry"):
+                        self._missing[shard] = self._shards[shard].reason
+
+    def _hedge(self, shard: str) -> None:
+        state = self._shards[shard]
+        if shard in self._hits or shard in self._missing or state.hedged:
+            return
+        if len(state.in_flight) != 1:
+            return
+        replicas = self._list_replicas(state)
+        if all(replica.name in state.tried for replica in replicas):
+            return
+        if self._tools.budgets.take_hedge(self._query.traffic.rank):
+            state.hedged = True
+            self._send(shard, "hedge")
+
+    def _list_replicas(self, state: ShardState) -> tuple[UpstreamRecord, ...]:
+        return self._tools.inventory.list_replicas(
+            groups=self._route.groups, service_name=state.service
+        )
+
+    def _send(self, shard: str, cause: str) -> bool:
+        """Sends a shard's sub-request to the best replica that was not tried.
+
+        A first attempt without any replica settles the shard as missing.
+        """
+        state = self._shards[shard]
+        chosen = self._tools.routing.choose(
+            replicas=self._list_replicas(state),
+            tried=state.tried,
+            request_id=self._query.request_id,
+            shard=shard,
+            cause=cause,
+            may_probe=cause == "first",
+        )
+        if chosen is None:
+            if cause == "first":
+                self._missing[shard] = REASON_NO_REPLICA
+            return False
+        state.tried.add(chosen.name)
+        now_ms = self._tools.clock.now_ms()
+        subrequest = Subrequest(
+            id=self._tools.calls.create_id("s"),
+            request_id=self._query.request_id,
+            upstream=chosen.name,
+            rank=self._query.traffic.rank,
+            remaining_ms=self._query.deadline_ms - now_ms,
+            index=self._snapshot.index,
+            version=self._snapshot.version,
+            shard=shard,
+            body=self._query.terms,
+        )
+        self._attempts[subrequest.id] = Attempt(
+            shard=shard, upstream=chosen.name, cause=cause, sent_ms=now_ms
+        )
+        state.in_flight.append(subrequest.id)
+        if cause == "first":
+            self._tools.budgets.count_first(self._query.traffic.rank)
+        self._plan_hedge(shard, state, now_ms)
+        self._tools.calls.send(
+            subrequest=subrequest, upstream=chosen, inbox=self._inbox
+        )
+        return True
+
+    def _plan_hedge(self, shard: str, state: ShardState, now_ms: float) -> None:
+        if state.hedged:
+            return
+        delay_ms = self._tools.latencies.find_hedge_delay_ms(
+            service_name=state.service, rank=self._query.traffic.rank
+        )
+        if delay_ms is not None:
+            self._set_timer(now_ms + delay_ms, HedgeDue(shard=shard))
+
+    def _abandon(self, ids: list[str], *, overtaken: bool = False) -> None:
+        for subrequest_id in ids:
+            attempt = self._attempts.pop(subrequest_id)
+            self._shards[attempt.shard].in_flight.remove(subrequest_id)
+            # It was handed over and its outcome will not be known.
+            self.may_have_run = True
+            if self._tools.cancel_losers:
+                self._tools.calls.cancel(subrequest_id, overtaken=overtaken)
+            else:
+                self._tools.calls.forget(subrequest_id)
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -38,9 +38,15 @@
 
 @_message
 class CancelSubrequest:
-    """Its result is no longer wanted."""
+    """The result of a sub-request is no longer wanted.
+
+    Attributes:
+        id: The sub-request.
+        upstream: Its upstream, so that the owner finds the queue without a search.
+    """
 
     id: str
+    upstream: str = ""
 
 
 @_message
@@ -54,6 +60,8 @@
         reply: The upstream's reply.
         upstream_ms: Time in milliseconds that the exchange took.
         queued_ms: Time in milliseconds in the owner's queue.
+        queue_wait_ms: Owner's estimate, in milliseconds, of the queue wait of a next
+            sub-request of the same rank.
     """
 
     id: str
@@ -62,6 +70,7 @@
     reply: dict
     upstream_ms: float
     queued_ms: float
+    queue_wait_ms: float = 0.0
 
 
 @_message
@@ -73,12 +82,14 @@
         reason: One of the `REASON_` constants of `dispatch`.
         step: Where it was refused.
         peer: The upstream or instance that refused it.
+        queue_wait_ms: As in `SubrequestCompleted`.
     """
 
     id: str
     reason: str
     step: str
     peer: str
+    queue_wait_ms: float = 0.0
 
 
 @_message
@@ -90,12 +101,14 @@
         reason: What went wrong.
         step: Where it went wrong.
         peer: The upstream or instance concerned.
+        queue_wait_ms: As in `SubrequestCompleted`.
     """
 
     id: str
     reason: str
     step: str
     peer: str
+    queue_wait_ms: float = 0.0
 
 
 SubrequestOutcome = SubrequestCompleted | SubrequestNotRun | SubrequestUnknown
--- a/packages/gooseberrymux/src/gooseberrymux/queries.py
+++ b/packages/gooseberrymux/src/gooseberrymux/queries.py
@@ -1,38 +1,50 @@
-"""Entry side of a query: fan-out to owners, retries, merge, coverage."""
+"""Entry side of a query: pins a version, restarts on a newer one, states coverage."""
 
 from result import Err, Ok, Result
 
 from gooseberrymux import journal
-from gooseberrymux.calls import Calls, Inbox
-from gooseberrymux.clock import Clock
+from gooseberrymux.budgets import Budgets
+from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.gather import (
+    Gathered,
+    Gathering,
+    Toolbox,
+    VersionReplaced,
+)
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.messages import Subrequest, SubrequestCompleted, SubrequestOutcome
-from gooseberrymux.records import Answer, MissingShard, Query, Refusal, RunState
-from gooseberrymux.routing import choose_replica
+from gooseberrymux.latency import Latencies, create_hedge_policy
+from gooseberrymux.records import Answer, Query, Refusal, RunState
+from gooseberrymux.routing import Routing
 from gooseberrymux.selectors import Route, resolve
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
-REASON_DEADLINE = "deadline"
-REASON_NO_REPLICA = "no_replica"
-
 
 @service(
     "queries",
-    requires=("calls", "configuration", "snapshots", "inventory"),
+    requires=("calls", "configuration", "snapshots", "inventory", "routing"),
 )
 class Queries:
     """Runs queries, each in its caller's thread."""
 
-    __slots__ = ("_kernel", "_calls", "_configuration", "_snapshots", "_inventory")
+    __slots__ = ("_kernel", "_configuration", "_snapshots", "_tools")
 
     def __init__(self, *, kernel: Kernel):
+        settings = kernel.settings
         self._kernel = kernel
-        self._calls = kernel.find("calls", Calls)
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
-        self._inventory = kernel.find("inventory", Inventory)
+        self._tools = Toolbox(
+            calls=kernel.find("calls", Calls),
+            inventory=kernel.find("inventory", Inventory),
+            routing=kernel.find("routing", Routing),
+            snapshots=self._snapshots,
+            budgets=Budgets(settings=settings.ranks),
+            latencies=Latencies(policy=create_hedge_policy(settings.policy)),
+            clock=kernel.clock,
+            cancel_losers=settings.policy.cancel_losers,
+        )
 
     def start(self) -> None:
         """Nothing to start."""
@@ -45,6 +57,15 @@
 
     def run(self, query: Query) -> Result[Answer, Refusal]:
         """Answers a query within its deadline, from one index version."""
+        if self._kernel.clock.now_ms() >= query.deadline_ms:
+            return Err(
+                Refusal(
+                    code="deadline_expired",
+                    message="the deadline had passed before the query was started",
+                    run_state=RunState.NOT_RUN,
+                    step="queries.run",
+                )
+            )
         configuration = self._configuration.get_current()
         if configuration is None:
             return Err(
@@ -64,124 +85,66 @@
             case Err(refusal):
                 return Err(refusal)
             case Ok(snapshot):
-                run = QueryRun(
-                    query=query,
-                    route=route,
-                    snapshot=snapshot,
-                    calls=self._calls,
-                    inventory=self._inventory,
-                    clock=self._kernel.clock,
-                )
-                return Ok(run.gather())
-
-
-class QueryRun:
-    """One query's sub-requests, from fan-out to merge, in the caller's thread."""
-
-    __slots__ = (
-        "_query",
-        "_route",
-        "_snapshot",
-        "_calls",
-        "_inventory",
-        "_clock",
-        "_inbox",
-        "_hits",
-        "_missing",
-        "_waiting",
-        "_tried",
+                return self._answer(query, route, snapshot)
+
+    def _answer(
+        self, query: Query, route: Route, snapshot: Snapshot
+    ) -> Result[Answer, Refusal]:
+        may_have_run = False
+        while True:
+            gathering = Gathering(
+                query=query, route=route, snapshot=snapshot, tools=self._tools
+            )
+            gathered = gathering.run()
+            may_have_run = may_have_run or gathering.may_have_run
+            match gathered:
+                case VersionReplaced(newer=newer):
+                    # Versions only get newer, so each is tried at most once.
+                    journal.record_decision(
+                        "queries.restart",
+                        chosen=newer.version,
+                        among=[snapshot.version, newer.version],
+                        reason="the pinned version is gone",
+                        request_id=query.request_id,
+                    )
+                    snapshot = newer
+                case Gathered():
+                    return check_coverage(
+                        answer=create_answer(query, gathered),
+                        query=query,
+                        may_have_run=may_have_run,
+                    )
+
+
+def create_answer(query: Query, gathered: Gathered) -> Answer:
+    """Returns the answer that states exactly what was gathered."""
+    return Answer(
+        request_id=query.request_id,
+        index=gathered.snapshot.index,
+        version=gathered.snapshot.version,
+        shards_total=len(gathered.snapshot.shards),
+        covered=tuple(sorted(gathered.hits)),
+        missing=gathered.missing,
+        hits=gathered.hits,
     )
 
-    def __init__(
-        self,
-        *,
-        query: Query,
-        route: Route,
-        snapshot: Snapshot,
-        calls: Calls,
-        inventory: Inventory,
-        clock: Clock,
-    ):
-        self._query = query
-        self._route = route
-        self._snapshot = snapshot
-        self._calls = calls
-        self._inventory = inventory
-        self._clock = clock
-        self._inbox = Inbox(clock=clock)
-        self._hits: dict[str, list] = {}
-        self._missing: dict[str, str] = {}
-        self._waiting: dict[str, str] = {}
-        self._tried: dict[str, set[str]] = {shard: set() for shard in snapshot.shards}
-
-    def gather(self) -> Answer:
-        """Returns what the pinned version's shards gave within the deadline."""
-        for shard in self._snapshot.shards:
-            self._send(shard)
-        while self._waiting and self._clock.now_ms() < self._query.deadline_ms:
-            for outcome in self._inbox.take(self._query.deadline_ms):
-                self._handle_outcome(outcome)
-        for subrequest_id, shard in self._waiting.items():
-            self._calls.forget(subrequest_id)
-            self._missing[shard] = REASON_DEADLINE
-        return self._create_answer()
-
-    def _handle_outcome(self, outcome: SubrequestOutcome) -> None:
-        shard = self._waiting.pop(outcome.id)
-        match outcome:
-            case SubrequestCompleted(version=version, shard=named, reply=reply) if (
-                version == self._snapshot.version and named == shard
-            ):
-                self._hits[shard] = reply.get("hits", [])
-            case _:
-                self._send(shard)
-
-    def _send(self, shard: str) -> None:
-        replicas = self._inventory.list_replicas(
-            groups=self._route.groups, service_name=self._snapshot.shards[shard]
-        )
-        chosen = choose_replica(
-            replicas=replicas,
-            tried=self._tried[shard],
-            in_flight=self._calls.in_flight,
-            request_id=self._query.request_id,
-        )
-        if chosen is None:
-            self._missing[shard] = REASON_NO_REPLICA
-            return
-        self._tried[shard].add(chosen.name)
-        subrequest = Subrequest(
-            id=self._calls.create_id("s"),
-            request_id=self._query.request_id,
-            upstream=chosen.name,
-            rank=self._query.traffic.rank,
-            remaining_ms=self._query.deadline_ms - self._clock.now_ms(),
-            index=self._snapshot.index,
-            version=self._snapshot.version,
-            shard=shard,
-            body=self._query.terms,
-        )
-        journal.record_decision(
-            "routing.replica",
-            chosen=chosen.name,
-            among=[replica.name for replica in replicas],
-            reason="fewest in flight",
-            request_id=self._query.request_id,
-            shard=shard,
-        )
-        self._waiting[subrequest.id] = shard
-        self._calls.send(subrequest=subrequest, upstream=chosen, inbox=self._inbox)
-
-    def _create_answer(self) -> Answer:
-        return Answer(
-            request_id=self._query.request_id,
-            index=self._snapshot.index,
-            version=self._snapshot.version,
-            shards_total=len(self._snapshot.shards),
-            covered=tuple(sorted(self._hits)),
-            missing=tuple(
-                MissingShard(shard=shard, reason=reason)
-                for shard, reason in sorted(self._missing.items())
-            ),
-            hits=self._hits,
+
+def check_coverage(
+    *, answer: Answer, query: Query, may_have_run: bool
+) -> Result[Answer, Refusal]:
+    """Returns the answer, or the refusal if it covers less than the caller wants.
+
+    The refusal says not run only if no upstream can have run any part of the query.
+    """
+    if answer.coverage >= query.minimum_coverage:
+        return Ok(answer)
+    missing = ", ".join(f"{m.shard} ({m.reason})" for m in answer.missing)
+    return Err(
+        Refusal(
+            code="coverage_below_minimum",
+            message=f"covered {len(answer.covered)} of {answer.shards_total} shards "
+            f"of version {answer.version}, missing {missing}",
+            run_state=RunState.UNKNOWN if may_have_run else RunState.NOT_RUN,
+            step="queries.merge",
         )
+    )
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -4,6 +4,7 @@
 import json
 from importlib import resources
 from pathlib import Path
+from typing import Literal
 
 import pydantic
 import yaml
@@ -64,7 +65,7 @@
 
     __pydantic_config__ = STRICT
 
-    threads: int = 48
+    threads: int = 64
     body_limit_bytes: int = 65_536
     caller_tokens: dict[str, str] = dataclasses.field(default_factory=dict)
     operator_tokens: dict[str, str] = dataclasses.field(default_factory=dict)
@@ -92,8 +93,8 @@
 
     __pydantic_config__ = STRICT
 
-    dispatch: str = "owner"
-    schedule: str = "strict_with_floors"
+    dispatch: Literal["owner", "direct"] = "owner"
+    schedule: Literal["strict", "weighted", "strict_with_floors"] = "strict_with_floors"
     hedge: bool = True
     hedge_quantile: float = 0.95
     hedge_floor_ms: float = 10.0
--- a/packages/gooseberrymux/src/gooseberrymux/snapshots.py
+++ b/packages/gooseberrymux/src/gooseberrymux/snapshots.py
@@ -1,6 +1,7 @@
 """Index versions and shard maps: what a query pins for its whole life."""
 
 import dataclasses
+import threading
 
 from result import Err, Ok, Result
 
@@ -25,22 +26,27 @@
         index: The index.
         version: The version.
         shards: Service that serves each shard, by shard name.
+        generation: Generation of the document that made it current. Versions are
+            names without an order; of two, the one with the higher generation is
+            newer, so that going back to an earlier version is a change like any other.
     """
 
     index: str
     version: str
     shards: dict[str, str]
+    generation: int = 0
 
 
 @service("snapshots", requires=("documents",))
 class Snapshots:
     """Holds the current version of each index."""
 
-    __slots__ = ("_current", "last_problem")
+    __slots__ = ("_current", "_lock", "last_problem")
 
     def __init__(self, *, kernel: Kernel):
         kernel.find("documents", Documents)
         self._current: dict[str, Snapshot] = {}
+        self._lock = threading.Lock()
         self.last_problem: str | None = None
         kernel.subscribe(DocumentChanged, self._handle_document)
 
@@ -67,6 +73,13 @@
             )
         return Ok(snapshot)
 
+    def find_newer(self, pinned: Snapshot) -> Snapshot | None:
+        """Returns the current version if it replaced the pinned one, or None."""
+        current = self._current.get(pinned.index)
+        if current is None or current.generation <= pinned.generation:
+            return None
+        return None if current.version == pinned.version else current
+
     def list_current(self) -> tuple[Snapshot, ...]:
         """Returns the current version of each index."""
         return tuple(self._current.values())
@@ -76,34 +89,68 @@
             return
         index = event.name.removeprefix(INDEX_PREFIX)
         try:
-            snapshot = decode_snapshot(index=index, body=event.body)
+            snapshot = decode_snapshot(
+                index=index, body=event.body, generation=event.generation
+            )
         except SnapshotError as error:
             # The last good version stays in force.
             self.last_problem = str(error)
             journal.record_fault(step="snapshots.decode", peer="platform", error=error)
             return
-        self._current[index] = snapshot
+        with self._lock:
+            known = self._current.get(index)
+            # Documents are published by several threads and may arrive out of order.
+            if known is not None and known.generation >= snapshot.generation:
+                return
+            redefined = (
+                known is not None
+                and known.version == snapshot.version
+                and known.shards != snapshot.shards
+            )
+            if not redefined:
+                self._current[index] = snapshot
+        if redefined:
+            # Replies of the two maps could not be told apart by their version.
+            error = reject(
+                index, f"version {snapshot.version!r} has another shard map than before"
+            )
+            self.last_problem = str(error)
+            journal.record_fault(step=error.step, peer="platform", error=error)
+            return
+        journal.record_event(
+            "snapshots.current",
+            index=index,
+            version=snapshot.version,
+            shards=len(snapshot.shards),
+        )
 
 
-def decode_snapshot(*, index: str, body: dict) -> Snapshot:
+def decode_snapshot(*, index: str, body: dict, generation: int) -> Snapshot:
     """Returns the current version that an index document names.
 
     Raises:
-        SnapshotError: A field is missing or of the wrong type.
+        SnapshotError: A field of any version is missing or of the wrong type, or the
+            current version is not among the versions or has no shards.
     """
-    try:
-        version = body["current"]
-        shards = body["versions"][version]
-        valid = isinstance(version, str) and all(
-            isinstance(shard, str) and isinstance(name, str)
-            for shard, name in shards.items()
-        )
-    except (KeyError, TypeError, AttributeError) as error:
-        raise SnapshotError(
-            step="snapshots.decode", message=f"{index}: {error!r}"
-        ) from error
-    if not valid:
-        raise SnapshotError(
-            step="snapshots.decode", message=f"{index}: shards must map to services"
-        )
-    return Snapshot(index=index, version=version, shards=dict(shards))
+    current, versions = body.get("current"), body.get("versions")
+    if not isinstance(versions, dict) or not isinstance(current, str):
+        raise reject(index, "`versions` must be a mapping and `current` a name")
+    for version, shards in versions.items():
+        if not isinstance(shards, dict):
+            raise reject(index, f"version {version!r}: shards must be a mapping")
+        for shard, name in shards.items():
+            if not isinstance(shard, str) or not isinstance(name, str):
+                raise reject(index, f"version {version!r}: shards must map to services")
+    if not versions.get(current):
+        raise reject(index, f"current version {current!r} has no shards")
+    return Snapshot(
+        index=index,
+        version=current,
+        shards=dict(versions[current]),
+        generation=generation,
+    )
+
+
+def reject(index: str, message: str) -> SnapshotError:
+    """Returns the error for an index document that is not put in force."""
+    return SnapshotError(step="snapshots.decode", message=f"{index}: {message}")
