--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,193 @@
+"""A kernel with the query path's real services and fakes for what lies around it."""
+
+import heapq
+import itertools
+import threading
+
+from result import Ok
+
+from gooseberrymux.clock import Clock
+from gooseberrymux.documents import DocumentChanged, Documents
+from gooseberrymux.kernel import Kernel
+from gooseberrymux.membership import Membership
+from gooseberrymux.messages import Subrequest
+from gooseberrymux.peers import Peers
+from gooseberrymux.queries import Queries
+from gooseberrymux.records import (
+    InstanceIdentity,
+    InstanceRecord,
+    Query,
+    Rank,
+    Traffic,
+)
+from gooseberrymux.settings import merge_mappings, parse_settings
+
+SETTINGS = {
+    "instance": {
+        "name": "entry",
+        "failure_domain": "a",
+        "callers": {"port": 0},
+        "administration": {"port": 0},
+        "peers": {"port": 0},
+    },
+    "platform": {"url": "http://127.0.0.1:9"},
+}
+
+
+def create_settings(**overrides):
+    import yaml
+
+    return parse_settings(
+        yaml.safe_dump(merge_mappings(SETTINGS, overrides)), source="test"
+    )
+
+
+class SteppingClock(Clock):
+    """Time of a single-threaded test: a wait jumps to the next planned event."""
+
+    __slots__ = ("now", "_events", "_count")
+
+    def __init__(self):
+        self.now = 1000.0
+        self._events = []
+        self._count = itertools.count()
+
+    def now_ms(self):
+        return self.now
+
+    def plan(self, delay_ms, action):
+        heapq.heappush(self._events, (self.now + delay_ms, next(self._count), action))
+
+    def wait(self, condition, timeout_ms):
+        until_ms = self.now + timeout_ms
+        if self._events and self._events[0][0] <= until_ms:
+            self.now, _, action = heapq.heappop(self._events)
+            action()
+            return True
+        self.now = until_ms
+        return False
+
+
+class FakePeers(Peers):
+    """Records what is sent; `answer` plays the owners."""
+
+    def __init__(self, answer=None):
+        self.identity = InstanceIdentity(name="entry", incarnation=7)
+        self._handlers = {}
+        self.incarnations = {}
+        self.sent = []
+        self.answer = answer
+
+    def start(self):
+        pass
+
+    def get_incarnation(self, name):
+        return self.incarnations.get(name, 0)
+
+    def list_connected(self):
+        return tuple(self.incarnations)
+
+    def send(self, name, message):
+        self.sent.append((name, message))
+        if self.answer and isinstance(message, Subrequest):
+            self.answer(name, message)
+        return Ok(None)
+
+    def receive(self, name, incarnation, message):
+        sender = InstanceIdentity(name=name, incarnation=incarnation)
+        self._handlers[type(message)](sender, message)
+
+
+class FakeMembership(Membership):
+    def __init__(self, names):
+        self.names = names
+
+    def start(self):
+        pass
+
+    def learn(self, record):
+        pass
+
+    def list_live(self):
+        return tuple(
+            InstanceRecord(name=n, host="h", peer_port=1, failure_domain="a")
+            for n in self.names
+        )
+
+
+class FakeDocuments(Documents):
+    def __init__(self):
+        pass
+
+    def start(self):
+        pass
+
+    def stop(self):
+        pass
+
+
+def create_kernel(*, clock=None, members=("entry",), answer=None, **overrides):
+    kernel = Kernel(settings=create_settings(**overrides), clock=clock or Clock())
+    kernel.add("peers", FakePeers(answer))
+    kernel.add("membership", FakeMembership(members))
+    kernel.add("documents", FakeDocuments())
+    kernel.load(("queries",))
+    publish(
+        kernel,
+        "configuration/current",
+        1,
+        change_id="x",
+        groups=[{"name": "g", "index": "desk", "match": {}}],
+        selectors=[{"name": "all", "priority": 1, "groups": ["g"]}],
+    )
+    return kernel
+
+
+def publish(kernel, name, generation, **body):
+    kernel.publish(
+        DocumentChanged(
+            name=name, generation=generation, body={"generation": generation, **body}
+        )
+    )
+
+
+def publish_index(kernel, generation, current, **versions):
+    publish(kernel, "index/desk", generation, current=current, versions=versions)
+
+
+def publish_upstreams(kernel, generation, records):
+    import dataclasses
+
+    publish(
+        kernel,
+        "instances",
+        generation,
+        upstreams=[dataclasses.asdict(record) for record in records],
+    )
+
+
+def create_query(kernel, *, deadline_in_ms=2000.0, rank=Rank.URGENT, minimum=0.0):
+    return Query(
+        request_id=f"q-{next(_ids)}",
+        traffic=Traffic(caller="c", service="desk", rank=rank),
+        terms={},
+        deadline_ms=kernel.clock.now_ms() + deadline_in_ms,
+        minimum_coverage=minimum,
+    )
+
+
+def run_query(kernel, **fields):
+    return kernel.find("queries", Queries).run(create_query(kernel, **fields))
+
+
+def wait_until(holds, *, message):
+    """Waits, for tests only, until another thread has done its part."""
+    pause = threading.Event()
+    for _ in range(400):
+        if holds():
+            return
+        pause.wait(0.01)
+    raise AssertionError(message)
+
+
+_ids = itertools.count(1)
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,46 @@
+"""Hedge and retry budgets: shares, the common limit, ranks kept apart."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrymux.budgets import BURST_TOKENS, EXTRA_SHARE_LIMIT, Budgets
+from gooseberrymux.records import Rank
+from harness import create_settings
+
+STEPS = st.lists(st.sampled_from(["first", "retry", "hedge"]), max_size=600)
+
+
+@given(STEPS, st.floats(0, 0.5), st.floats(0, 0.5))
+def test_extra_load_never_exceeds_its_share(steps, retry_share, hedge_share):
+    # Guards against retry storms: 1.3 allows at most 10 % extra load.
+    settings = create_settings(
+        ranks={"urgent": {"retry_share": retry_share, "hedge_share": hedge_share}}
+    )
+    budgets = Budgets(settings=settings.ranks)
+    granted = {"first": 0, "retry": 0, "hedge": 0}
+    for step in steps:
+        match step:
+            case "first":
+                budgets.count_first(Rank.URGENT)
+                granted["first"] += 1
+            case "retry":
+                granted["retry"] += budgets.take_retry(Rank.URGENT)
+            case "hedge":
+                granted["hedge"] += budgets.take_hedge(Rank.URGENT)
+    firsts = granted["first"]
+    assert granted["retry"] <= firsts * retry_share + BURST_TOKENS + 1e-6
+    assert granted["hedge"] <= firsts * hedge_share + BURST_TOKENS + 1e-6
+    extra = granted["retry"] + granted["hedge"]
+    assert extra <= firsts * EXTRA_SHARE_LIMIT + BURST_TOKENS + 1e-6
+
+
+def test_a_rank_draws_on_its_own_budget_only():
+    # Guards against patient traffic that pays for urgent retries, or the reverse.
+    budgets = Budgets(settings=create_settings().ranks)
+    while budgets.take_retry(Rank.PATIENT):
+        pass
+    for _ in range(1_000):
+        budgets.count_first(Rank.URGENT)
+    assert not budgets.take_retry(Rank.PATIENT)
+    assert budgets.take_retry(Rank.URGENT)
+    assert not budgets.take_hedge(Rank.PATIENT)  # its hedge share is 0
