--- a/packages/gooseberrymux/src/gooseberrymux/routing.py
+++ b/packages/gooseberrymux/src/gooseberrymux/routing.py
@@ -15,17 +15,23 @@
     Failed,
     NoEvidence,
     Observation,
+    Overtaken,
     Ramping,
     Replied,
     Shed,
 )
 from gooseberrymux.exchange import (
     REASON_CONNECT,
+    REASON_TIMEOUT,
     REASON_VERSION_GONE,
     REASON_WRONG_SHARD,
 )
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.lanes import REASON_DEADLINE, REASON_QUEUE_FULL
+from gooseberrymux.lanes import (
+    REASON_CANCELLED,
+    REASON_DEADLINE,
+    REASON_QUEUE_FULL,
+)
 from gooseberrymux.messages import (
     SubrequestCompleted,
     SubrequestNotRun,
@@ -44,7 +50,13 @@
 NEUTRAL_LATENCY_MS = 10.0
 
 
-REASONS_OTHER_VERSION = frozenset({REASON_VERSION_GONE, REASON_WRONG_SHARD})
+# The caller's deadline ended it, which a caller with short deadlines could do to any
+# upstream; so it counts as slow and not as failed.
+REASONS_SLOW = frozenset({REASON_TIMEOUT, "deadline"})
+# These follow from what this instance asked for.
+REASONS_OWN_DOING = frozenset(
+    {REASON_VERSION_GONE, REASON_WRONG_SHARD, REASON_CANCELLED}
+)
 REASONS_QUEUE = frozenset({REASON_QUEUE_FULL, REASON_DEADLINE})
 
 
@@ -275,7 +287,9 @@
             )
         case SubrequestNotRun(reason=reason) if reason == REASON_CONNECT:
             return Failed()
-        case SubrequestNotRun(reason=reason) if reason in REASONS_OTHER_VERSION:
+        case SubrequestNotRun(reason=reason) | SubrequestUnknown(reason=reason) if (
+            reason in REASONS_OWN_DOING
+        ):
             return NoEvidence()
         case SubrequestNotRun(step="upstream.reply", queue_wait_ms=wait_ms):
             return Shed(queue_wait_ms=wait_ms)
@@ -283,6 +297,8 @@
             reason in REASONS_QUEUE
         ):
             return Shed(queue_wait_ms=wait_ms)
+        case SubrequestUnknown(reason=reason) if reason in REASONS_SLOW:
+            return Overtaken(elapsed_ms=elapsed_ms)
         case SubrequestUnknown(step=step) if step.startswith("upstream."):
             return Failed()
         case _:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -7,7 +7,9 @@
 from gooseberrymux.records import Rank
 from harness import create_settings
 
-STEPS = st.lists(st.sampled_from(["first", "retry", "hedge"]), max_size=600)
+STEPS = st.lists(st.sampled_from(["first", "retry", "hedge"]), max_size=12).map(
+    lambda steps: steps * 60
+)
 
 
 @given(STEPS, st.floats(0, 0.5), st.floats(0, 0.5))
@@ -44,3 +46,12 @@
     assert not budgets.take_retry(Rank.PATIENT)
     assert budgets.take_retry(Rank.URGENT)
     assert not budgets.take_hedge(Rank.PATIENT)  # its hedge share is 0
+
+
+def test_a_calm_time_saves_up_no_more_than_a_burst():
+    # Guards against a retry storm that spends the savings of hours.
+    budgets = Budgets(settings=create_settings().ranks)
+    for _ in range(10_000):
+        budgets.count_first(Rank.URGENT)
+    taken = sum(budgets.take_retry(Rank.URGENT) for _ in range(1_000))
+    assert taken == BURST_TOKENS
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -219,6 +219,9 @@
         "NoEvidence",
         "Failed",
     ]
+    # A caller with a short deadline must not get healthy upstreams ejected.
+    assert read(dataclasses.replace(broken, reason="timeout")) == "Overtaken"
+    assert read(dataclasses.replace(broken, reason="cancelled")) == "NoEvidence"
     shed = dataclasses.replace(gone, reason="shed")
     full = dataclasses.replace(gone, reason="queue_full", step="dispatch.submit")
     assert read(shed) == read(full) == "Shed"
