Hedge early enough: robust delay, index-wide samples, budget on the slowest

Decision lines showed why: each service's sketch had fewer than 20 samples for most of the trial; where it had more, its 0.95 quantile was a straggler's time, because stragglers and the work behind them make up about 5 %; a first query had no delay at all; ranks with a small budget spent it on ordinary replies.

Now the whole index decides until a service has 200 samples, a delay is at most three medians, a rank hedges at the quantile that its budget can pay, and a delay that is unknown when a sub-request goes out is looked up again. One straggler no longer moves all traffic to the other replica.

--- a/packages/gooseberrymux/src/gooseberrymux/evidence.py
+++ b/packages/gooseberrymux/src/gooseberrymux/evidence.py
@@ -4,11 +4,13 @@
 
 from gooseberrymux.records import UpstreamRecord
 
-# Weights of the newest sample. A slower sample counts more, so that a replica that
-# turns slow is left quickly.
+# Weights of the newest sample.
 LATENCY_WEIGHT = 0.2
-SLOWER_WEIGHT = 0.4
 PRESSURE_WEIGHT = 0.3
+# A sample counts as at most this many times the estimate. One straggler then moves a
+# replica by less than `routing.CLOSE_FACTOR`; a replica that stays slow is left after
+# two or three. Without the bound each straggler sent all traffic to the other replica.
+SAMPLE_LIMIT_FACTOR = 2.5
 # Without new samples an estimate loses half its distance to the best replica in this
 # time, so that a replica that was slow is tried again.
 LATENCY_HALF_LIFE_MS = 5_000
@@ -218,9 +220,8 @@
         if self.latency_ms is None:
             self.latency_ms = elapsed_ms
         else:
-            slower = elapsed_ms > self.latency_ms
-            weight = SLOWER_WEIGHT if slower else LATENCY_WEIGHT
-            self.latency_ms += weight * (elapsed_ms - self.latency_ms)
+            sample_ms = min(elapsed_ms, SAMPLE_LIMIT_FACTOR * self.latency_ms)
+            self.latency_ms += LATENCY_WEIGHT * (sample_ms - self.latency_ms)
         self._sampled_ms = now_ms
 
     def _learn_pressure(self, sample: float, now_ms: float) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/gather.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gather.py
@@ -6,17 +6,11 @@
 
 from gooseberrymux import metrics
 from gooseberrymux.budgets import Budgets
-from gooseberrymux.calls import REASON_PEER_LOST, Calls, Inbox
+from gooseberrymux.calls import Calls, Inbox
 from gooseberrymux.clock import Clock
-from gooseberrymux.exchange import (
-    REASON_CONNECT,
-    REASON_MALFORMED,
-    REASON_VERSION_GONE,
-    REASON_WRONG_SHARD,
-)
+from gooseberrymux.exchange import REASON_MALFORMED
 from gooseberrymux.inventory import Inventory
-from gooseberrymux.lanes import REASON_LEAVING, REASON_UNKNOWN_UPSTREAM
-from gooseberrymux.latency import Latencies
+from gooseberrymux.latency import DelayUnknown, HedgeAfter, Latencies, NeverHedge
 from gooseberrymux.messages import (
     Subrequest,
     SubrequestCompleted,
@@ -27,13 +21,20 @@
 from gooseberrymux.records import MissingShard, Query, UpstreamRecord
 from gooseberrymux.routing import Routing
 from gooseberrymux.selectors import Route
+from gooseberrymux.shards import (
+    ABANDONED,
+    REASON_NO_REPLICA,
+    REASON_OTHER_SNAPSHOT,
+    REASONS_STALE,
+    REASONS_UNBUDGETED,
+    Attempt,
+    HedgeDue,
+    RetryDue,
+    ShardState,
+    Timer,
+)
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
-REASON_QUERY_DEADLINE = "deadline"
-REASON_NO_REPLICA = "no_replica"
-REASON_OTHER_SNAPSHOT = "reply_of_other_snapshot"
-# Outcome in the metrics of a sub-request that was given up.
-ABANDONED = "Abandoned"
 # After all replicas of a shard were tried; doubles with each round.
 RETRY_BACKOFF_MS = 10.0
 # The rounds wait 150 ms in all. Waiting for a lost shard until the deadline would keep
@@ -43,21 +44,8 @@
 # document may still be on its way; both pass within this time or not soon.
 VERSION_WAIT_MS = 500.0
 VERSION_RETRY_LIMIT_MS = 160.0
-
-# The upstream names another version or shard map than the pinned one.
-REASONS_STALE = frozenset(
-    {REASON_VERSION_GONE, REASON_WRONG_SHARD, REASON_OTHER_SNAPSHOT}
-)
-# The sub-request never reached an upstream, or was turned away for its version, so
-# that a retry is no extra load and needs no budget. A lost owner takes many calls
-# with it at once and each fails over only once, so that the budget, which would run
-# out, does not apply to it either.
-REASONS_UNBUDGETED = REASONS_STALE | {
-    REASON_CONNECT,
-    REASON_PEER_LOST,
-    REASON_LEAVING,
-    REASON_UNKNOWN_UPSTREAM,
-}
+# How soon to look again for a hedge delay that was not known yet.
+HEDGE_RECHECK_MS = 25.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,47 +70,6 @@
     newer: Snapshot
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class HedgeDue:
-    """A shard's first attempt has taken as long as the hedge delay."""
-
-    shard: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RetryDue:
-    """A shard may be tried again after all its replicas were tried."""
-
-    shard: str
-
-
-Timer = HedgeDue | RetryDue
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Attempt:
-    """One sub-request of a shard that is in flight."""
-
-    shard: str
-    upstream: str
-    cause: str
-    sent_ms: float
-
-
-class ShardState:
-    """Progress of one shard."""
-
-    __slots__ = ("service", "in_flight", "tried", "rounds", "hedged", "reason")
-
-    def __init__(self, *, service: str):
-        self.service = service
-        self.in_flight: list[str] = []
-        self.tried: set[str] = set()
-        self.rounds = 0
-        self.hedged = False
-        self.reason = REASON_QUERY_DEADLINE
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Toolbox:
     """What every gathering of this instance works with."""
@@ -258,6 +205,7 @@
         state = self._shards[attempt.shard]
         self._tools.latencies.record(
             service_name=state.service,
+            index=self._snapshot.index,
             rank=self._query.traffic.rank,
             duration_ms=self._tools.clock.now_ms() - attempt.sent_ms,
         )
@@ -320,6 +268,9 @@
             return
         if len(state.in_flight) != 1:
             return
+        sent_ms = self._attempts[state.in_flight[0]].sent_ms
+        if not self._is_hedge_due(shard, state, sent_ms):
+            return
         replicas = self._list_replicas(state)
         if all(replica.name in state.tried for replica in replicas):
             return
@@ -369,20 +320,31 @@
         state.in_flight.append(subrequest.id)
         if cause == "first":
             self._tools.budgets.count_first(self._query.traffic.rank)
-        self._plan_hedge(shard, state, now_ms)
+        if not state.hedged:
+            self._is_hedge_due(shard, state, now_ms)
         self._tools.calls.send(
             subrequest=subrequest, upstream=chosen, inbox=self._inbox
         )
         return True
 
-    def _plan_hedge(self, shard: str, state: ShardState, now_ms: float) -> None:
-        if state.hedged:
-            return
-        delay_ms = self._tools.latencies.find_hedge_delay_ms(
-            service_name=state.service, rank=self._query.traffic.rank
+    def _is_hedge_due(self, shard: str, state: ShardState, sent_ms: float) -> bool:
+        """Returns whether an attempt has taken the hedge delay, else sets a timer."""
+        now_ms = self._tools.clock.now_ms()
+        plan = self._tools.latencies.plan_hedge(
+            service_name=state.service,
+            index=self._snapshot.index,
+            rank=self._query.traffic.rank,
         )
-        if delay_ms is not None:
-            self._set_timer(now_ms + delay_ms, HedgeDue(shard=shard))
+        match plan:
+            case HedgeAfter(delay_ms=delay_ms) if now_ms >= sent_ms + delay_ms:
+                return True
+            case HedgeAfter(delay_ms=delay_ms):
+                self._set_timer(sent_ms + delay_ms, HedgeDue(shard=shard))
+            case DelayUnknown():
+                self._set_timer(now_ms + HEDGE_RECHECK_MS, HedgeDue(shard=shard))
+            case NeverHedge():
+                pass
+        return False
 
     def _abandon(self, ids: list[str], *, overtaken: bool = False) -> None:
         for subrequest_id in ids:
--- a/packages/gooseberrymux/src/gooseberrymux/queries.py
+++ b/packages/gooseberrymux/src/gooseberrymux/queries.py
@@ -41,7 +41,7 @@
             routing=kernel.find("routing", Routing),
             snapshots=self._snapshots,
             budgets=Budgets(settings=settings.ranks),
-            latencies=Latencies(policy=create_hedge_policy(settings.policy)),
+            latencies=Latencies(policy=create_hedge_policy(settings)),
             clock=kernel.clock,
             cancel_losers=settings.policy.cancel_losers,
         )
--- a/packages/gooseberrymux/src/gooseberrymux/routing.py
+++ b/packages/gooseberrymux/src/gooseberrymux/routing.py
@@ -43,7 +43,7 @@
 
 # Replicas whose estimate is within this factor, or this many milliseconds, of the
 # best are equal: estimates of a few samples differ by that much by chance.
-CLOSE_FACTOR = 1.25
+CLOSE_FACTOR = 1.4
 CLOSE_MS = 1.0
 # Assumed latency while no replica of a service has a sample; only its ratio to the
 # queue wait matters.
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -270,6 +270,16 @@
         assert took_ms == pytest.approx(600.0)
 
 
+def test_the_first_query_of_an_instance_is_hedged_by_its_own_replies():
+    # Guards against stragglers that go unhedged after each start of an instance.
+    shards = {f"x{n}": f"s{n % 3}" for n in range(12)}
+    simulation = Simulation(lambda n, sub: [(600.0 if n == 0 else 20.0, "ok")])
+    simulation.publish(2, "v2", v2=shards)
+    started_ms = simulation.clock.now_ms()
+    assert simulation.run().unwrap().coverage == 1.0
+    assert simulation.clock.now_ms() - started_ms < 100.0
+
+
 def test_hedges_stop_when_their_budget_is_used_up():
     slow = {"on": False}
     simulation = Simulation(
