--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -1,4 +1,4 @@
-"""Caller API over HTTP and JSON: query, health, metrics."""
+"""Caller API over HTTP and JSON: query, order, health, metrics."""
 
 import dataclasses
 import math
@@ -13,6 +13,7 @@
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
 from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.order_api import ORDER_PATH, OrderBody, OrderEndpoints
 from gooseberrymux.queries import Queries
 from gooseberrymux.records import Answer, Query, Rank, Refusal, Traffic
 from gooseberrymux.snapshots import Snapshots
@@ -37,7 +38,8 @@
 
 
 @service(
-    "api", requires=("queries", "calls", "configuration", "snapshots", "admission")
+    "api",
+    requires=("queries", "orders", "calls", "configuration", "snapshots", "admission"),
 )
 class Api:
     """Serves callers, one worker thread a connection."""
@@ -45,6 +47,7 @@
     __slots__ = (
         "_kernel",
         "_queries",
+        "_orders",
         "_calls",
         "_configuration",
         "_snapshots",
@@ -56,6 +59,7 @@
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._queries = kernel.find("queries", Queries)
+        self._orders = OrderEndpoints(kernel=kernel)
         self._calls = kernel.find("calls", Calls)
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
@@ -88,6 +92,10 @@
         match (request.method, request.path):
             case ("POST", "/v1/query"):
                 return self._handle_query(request)
+            case ("POST", path) if path == ORDER_PATH:
+                return self._handle_order(request)
+            case ("GET", path) if path.startswith(f"{ORDER_PATH}/"):
+                return self._orders.find(request, caller=read_caller(request))
             case ("GET", "/health"):
                 return self._handle_health()
             case ("GET", "/metrics"):
@@ -122,7 +130,7 @@
         query = Query(
             request_id=self._calls.create_id("q"),
             traffic=Traffic(
-                caller=request.headers.get("x-caller", "anonymous"),
+                caller=read_caller(request),
                 service=body.service,
                 rank=body.rank,
                 labels=body.labels,
@@ -147,6 +155,20 @@
         )
         return response
 
+    def _handle_order(self, request: Request) -> Response:
+        limit_bytes = self._kernel.settings.api.body_limit_bytes
+        match web.read_json(request, limit_bytes=limit_bytes).and_then(
+            lambda decoded: parse_body(OrderBody, decoded)
+        ):
+            case Err(response):
+                return response
+            case Ok(body):
+                pass
+        with self._admission.hold(body.rank) as refused:
+            if refused:
+                return create_refusal(refused)
+            return self._orders.submit(request, caller=read_caller(request), body=body)
+
     def _handle_health(self) -> Response:
         state = "ready"
         if self._kernel.failure:
@@ -162,6 +184,11 @@
         return web.create_json(status=status, body={"state": state})
 
 
+def read_caller(request: Request) -> str:
+    """Returns the caller that a request names."""
+    return request.headers.get("x-caller", "anonymous")
+
+
 def parse_body(cls: type, decoded: dict) -> Result:
     """Returns the checked body, or the 400 that names the wrong field."""
     try:
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -1,9 +1,9 @@
 """Owner side: hands sub-requests to the lanes of the upstreams it serves."""
 
-import collections
 import threading
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.duplicates import RecentIds
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.lanes import (
@@ -24,31 +24,9 @@
 from gooseberrymux.peers import Peers
 from gooseberrymux.records import InstanceIdentity, UpstreamRecord
 
-# Ids remembered to drop a sub-request that arrives twice; at 2,000 a second this is
-# eight seconds, far longer than a link repeats a frame.
-RECENT_LIMIT = 16_384
-
-
-class RecentIds:
-    """The last ids that were seen, at most `RECENT_LIMIT`."""
-
-    __slots__ = ("_order", "_known", "_lock")
-
-    def __init__(self):
-        self._order: collections.deque[str] = collections.deque()
-        self._known: set[str] = set()
-        self._lock = threading.Lock()
-
-    def add(self, seen: str) -> bool:
-        """Remembers an id; returns False if it was known."""
-        with self._lock:
-            if seen in self._known:
-                return False
-            self._known.add(seen)
-            self._order.append(seen)
-            if len(self._order) > RECENT_LIMIT:
-                self._known.discard(self._order.popleft())
-            return True
+# A repeated order within the last ones is dropped; at 1,000 orders a second through
+# one owner that is a minute.
+RECENT_ORDERS = 65_536
 
 
 @service("dispatch", requires=("peers", "inventory"))
@@ -62,7 +40,7 @@
         "_lanes",
         "_lock",
         "_draining",
-        "_recent",
+        "_recent_orders",
     )
 
     def __init__(self, *, kernel: Kernel):
@@ -72,7 +50,7 @@
         self._lanes: dict[str, Lane] = {}
         self._lock = threading.Lock()
         self._draining = False
-        self._recent = RecentIds()
+        self._recent_orders = RecentIds(limit=RECENT_ORDERS)
         self._peers.register(Subrequest, self._handle_subrequest)
         self._peers.register(CancelSubrequest, self._handle_cancel)
 
@@ -119,6 +97,10 @@
             reply: Called once with the outcome, from any thread; must not block.
             requester: Instance that may cancel it; empty for this one.
         """
+        if subrequest.order_key and not self._recent_orders.add(subrequest.id):
+            # Even a refusal of the second copy would be untrue: the first may run.
+            metrics.dropped_total.inc({"reason": "repeated_order"})
+            return
         record = self._inventory.describe(subrequest.upstream)
         if record is None:
             reply(refuse(subrequest, REASON_UNKNOWN_UPSTREAM, subrequest.upstream))
@@ -193,10 +175,6 @@
                 del self._lanes[lane.record.name]
 
     def _handle_subrequest(self, sender: InstanceIdentity, message: Subrequest) -> None:
-        if not self._recent.add(message.id):
-            metrics.dropped_total.inc({"reason": "repeated_subrequest"})
-            return
-
         def send_outcome(outcome: SubrequestOutcome) -> None:
             if self._peers.get_incarnation(sender.name) == sender.incarnation:
                 self._peers.send(sender.name, outcome)
--- a/packages/gooseberrymux/src/gooseberrymux/schedule.py
+++ b/packages/gooseberrymux/src/gooseberrymux/schedule.py
@@ -56,7 +56,7 @@
     Not thread-safe: the lane that owns it holds its lock around each call.
     """
 
-    __slots__ = ("_policy", "_limits", "_queues", "_credits")
+    __slots__ = ("_policy", "_limits", "_queues", "_credits", "_passes", "_virtual")
 
     def __init__(self, *, policy: Policy, limits: dict[Rank, int]):
         self._policy = policy
@@ -64,7 +64,12 @@
         self._queues: dict[Rank, collections.deque] = {
             rank: collections.deque() for rank in RANKS
         }
+        # Floors: dispatches owed to a rank.
         self._credits: dict[Rank, float] = dict.fromkeys(RANKS, 0.0)
+        # Weights: each rank's dispatches divided by its weight, and the rank that is
+        # furthest behind among those with work.
+        self._passes: dict[Rank, float] = dict.fromkeys(RANKS, 0.0)
+        self._virtual = 0.0
 
     def __len__(self) -> int:
         return sum(map(len, self._queues.values()))
@@ -74,6 +79,10 @@
         queue = self._queues[rank]
         if len(queue) >= self._limits[rank]:
             return False
+        if not queue:
+            # A rank that was idle brings nothing along that it did not use.
+            self._credits[rank] = 0.0
+            self._passes[rank] = max(self._passes[rank], self._virtual)
         queue.append(item)
         return True
 
@@ -131,25 +140,20 @@
         return {rank: len(queue) for rank, queue in self._queues.items()}
 
     def _choose(self, waiting: list[Rank]) -> Rank:
-        if len(waiting) < len(RANKS):
-            # A rank without work keeps no credit for later.
-            for rank in RANKS:
-                if rank not in waiting:
-                    self._credits[rank] = 0.0
         match self._policy:
             case Strict():
                 return waiting[0]
             case Weighted(weights=weights):
-                return self._choose_by_credit(waiting, weights)
+                return self._choose_by_weight(waiting, weights)
             case StrictWithFloors(floors=floors):
                 return self._choose_with_floors(waiting, floors)
 
-    def _choose_by_credit(self, waiting: list[Rank], weights: dict) -> Rank:
-        # Smooth weighted round robin over the ranks that wait.
-        for rank in waiting:
-            self._credits[rank] += weights[rank]
-        chosen = max(waiting, key=lambda rank: self._credits[rank])
-        self._credits[chosen] -= sum(weights[rank] for rank in waiting)
+    def _choose_by_weight(self, waiting: list[Rank], weights: dict) -> Rank:
+        # Weighted fair queueing of items of equal size: the rank whose next dispatch
+        # would end first goes next, so that one that was idle waits for its share.
+        chosen = min(waiting, key=lambda r: self._passes[r] + 1.0 / weights[r])
+        self._virtual = self._passes[chosen]
+        self._passes[chosen] += 1.0 / weights[chosen]
         return chosen
 
     def _choose_with_floors(self, waiting: list[Rank], floors: dict) -> Rank:
--- a/packages/gooseberrymux/src/gooseberrymux/snapshots.py
+++ b/packages/gooseberrymux/src/gooseberrymux/snapshots.py
@@ -44,7 +44,8 @@
     __slots__ = ("_current", "_lock", "last_problem")
 
     def __init__(self, *, kernel: Kernel):
-        kernel.find("documents", Documents)
+        documents = kernel.find("documents", Documents)
+        documents.register_check(INDEX_PREFIX, check_document)
         self._current: dict[str, Snapshot] = {}
         self._lock = threading.Lock()
         self.last_problem: str | None = None
@@ -88,15 +89,10 @@
         if not event.name.startswith(INDEX_PREFIX):
             return
         index = event.name.removeprefix(INDEX_PREFIX)
-        try:
-            snapshot = decode_snapshot(
-                index=index, body=event.body, generation=event.generation
-            )
-        except SnapshotError as error:
-            # The last good version stays in force.
-            self.last_problem = str(error)
-            journal.record_fault(step="snapshots.decode", peer="platform", error=error)
-            return
+        # It has passed `check_document` before it was put in force.
+        snapshot = decode_snapshot(
+            index=index, body=event.body, generation=event.generation
+        )
         with self._lock:
             known = self._current.get(index)
             # Documents are published by several threads and may arrive out of order.
@@ -125,6 +121,15 @@
         )
 
 
+def check_document(body: dict) -> str | None:
+    """Returns why a document holds no index versions, or None."""
+    try:
+        decode_snapshot(index="", body=body, generation=0)
+    except SnapshotError as error:
+        return error.message
+    return None
+
+
 def decode_snapshot(*, index: str, body: dict, generation: int) -> Snapshot:
     """Returns the current version that an index document names.
 
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -103,6 +103,26 @@
     assert count_taken(queue, 420)[Rank.PATIENT] == pytest.approx(20, abs=2)
 
 
+@pytest.mark.parametrize("policy", [WEIGHTED, FLOORS])
+def test_a_rank_that_comes_and_goes_gets_no_more_than_its_share(policy):
+    # Guards against a rank that gains by emptying its queue between its items, or by
+    # having them removed.
+    queue = create_queue(policy)
+    fill(queue, {Rank.URGENT: 50})
+    taken = dict.fromkeys(Rank, 0)
+    for number in range(4_000):
+        if not queue.count_by_rank()[Rank.PATIENT]:
+            queue.put(Rank.PATIENT, (Rank.PATIENT, number))
+        rank = queue.take()[0]
+        taken[rank] += 1
+        if rank is Rank.URGENT:
+            queue.put(Rank.URGENT, (Rank.URGENT, number))
+        if number % 5 == 4:
+            queue.remove(lambda item: item[0] is Rank.PATIENT)
+    share = 0.1 if policy is FLOORS else 1 / 17
+    assert taken[Rank.PATIENT] <= 4_000 * share * 1.1
+
+
 @given(st.sampled_from(POLICIES), st.integers(0, 5))
 def test_each_rank_is_bounded_by_itself(policy, limit):
     queue = create_queue(policy, limit)
