Refuse changes that could not be in force; spread recognised ones as found

Cause: a label with an unpaired surrogate passed the checks, so that the platform would have taken the change and every instance rejected it: accepted and in force nowhere. A change recognised by its id was spread in a new encoding, which in an object of another release would be a second content of the same generation.

Ruled out: relaxing the check before force (such a body ends the threads of the links).

After: the first is a problem of the change, the second spreads the body as it was read.

Seen failing: test_value_that_could_not_be_in_force_is_refused without the check, test_recognised_change_is_spread_as_it_was_found with the body encoded anew.

Conclusion: what is written has passed the same check as what is put in force.

--- a/packages/gooseberrymux/src/gooseberrymux/edits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/edits.py
@@ -28,7 +28,7 @@
     list_kind,
     name_object,
 )
-from gooseberrymux.document_table import measure_body
+from gooseberrymux.document_table import find_unportable, measure_body
 from gooseberrymux.records import RunState, UpstreamRecord
 
 CHANGE_ID_LIMIT = 64
@@ -297,6 +297,10 @@
     size_problem = find_size_problem(size_bytes)
     if size_problem:
         problems.append(size_problem)
+    fault = find_unportable(body, depth=0)
+    if fault:
+        # Written, it would be accepted by the platform and in force nowhere.
+        problems.append(Problem(object="change", field="edits", message=fault))
     unreachable = find_unreachable(before=basis, after=candidate, upstreams=upstreams)
     if unreachable and not change.allow_unreachable:
         problems += [
--- a/packages/gooseberrymux/src/gooseberrymux/proposals.py
+++ b/packages/gooseberrymux/src/gooseberrymux/proposals.py
@@ -17,7 +17,6 @@
     Configuration,
     ConfigurationError,
     decode_configuration,
-    encode_configuration,
 )
 from gooseberrymux.documents import Documents
 from gooseberrymux.edits import (
@@ -56,10 +55,12 @@
 
     Attributes:
         configuration: The newest configuration known to be accepted.
+        body: The document that holds it, as it was found.
         version: Version of the platform's object, for the conditional update.
     """
 
     configuration: Configuration
+    body: dict
     version: int
 
 
@@ -141,8 +142,9 @@
                 )
                 return None
             case Accepted():
-                # Recognised by its id; spread what it was found in.
-                self._spread(basis.configuration)
+                # Recognised by its id; spread what it was found in, as it is: another
+                # encoding of it would be a second content of the same generation.
+                self._spread(basis.body)
                 return plan
             case Conflict() | Invalid():
                 return self._refuse(plan)
@@ -169,9 +171,7 @@
         )
         match result:
             case Ok(Written()):
-                self._documents.offer_body(
-                    name=CONFIGURATION_NAME, body=plan.body, source="proposal"
-                )
+                self._spread(plan.body)
                 return True
             case Ok(VersionConflict(current=current)):
                 self._last_problem = (
@@ -213,33 +213,30 @@
         change: a stale read makes the update conflict, and a platform that lost writes
         gets them back.
         """
-        in_force = self._get_in_force()
+        document = self._documents.get(CONFIGURATION_NAME)
+        in_force = decode_configuration(document.body) if document else None
         decoded = EMPTY
+        body = found.value
         if found.version:
             try:
-                decoded = decode_configuration(found.value)
+                decoded = decode_configuration(body)
             except ConfigurationError as error:
-                if not is_replaceable(found.value, in_force):
+                if not is_replaceable(body, in_force):
                     return Err(refuse_undecodable(error))
         if in_force and in_force.generation >= decoded.generation:
             decoded = in_force
+            body = document.body
         if self._change.base_generation is None:
             # Without a base, changes after the lost write could not be told from
             # changes before it once the change id is no longer kept.
             self._change = dataclasses.replace(
                 self._change, base_generation=decoded.generation
             )
-        return Ok(Basis(configuration=decoded, version=found.version))
-
-    def _get_in_force(self) -> Configuration | None:
-        document = self._documents.get(CONFIGURATION_NAME)
-        return decode_configuration(document.body) if document else None
+        return Ok(Basis(configuration=decoded, body=body, version=found.version))
 
-    def _spread(self, configuration: Configuration) -> None:
+    def _spread(self, body: dict) -> None:
         self._documents.offer_body(
-            name=CONFIGURATION_NAME,
-            body=encode_configuration(configuration),
-            source="proposal",
+            name=CONFIGURATION_NAME, body=body, source="proposal"
         )
 
     def _refuse(self, outcome: Conflict | Invalid | Unavailable) -> Outcome:
--- a/tests/test_proposals.py
+++ b/tests/test_proposals.py
@@ -280,6 +280,17 @@
     assert documents.get(NAME).generation == 1
 
 
+def test_recognised_change_is_spread_as_it_was_found():
+    """Guards against a second content of a generation, in another encoding."""
+    documents = LocalDocuments()
+    platform = create_platform()
+    propose(put_group(change_id="one", name="a"), platform)
+    # An earlier release wrote no such field.
+    del platform.history[-1]["drains"]
+    propose(put_group(change_id="one", name="a"), platform, documents)
+    assert documents.get(NAME).body == platform.history[-1]
+
+
 def test_dry_run_writes_nothing():
     platform = create_platform()
     change = put_group(change_id="one", name="a", dry_run=True)
--- a/tests/test_selectors.py
+++ b/tests/test_selectors.py
@@ -223,6 +223,12 @@
         assert "near the platform's limit" in found.warnings[0].message
 
 
+def test_value_that_could_not_be_in_force_is_refused():
+    """Guards against a change that is written and then rejected by every instance."""
+    found = plan(put(Kind.GROUP, "n", index="i", match={"a": "\ud800"}))
+    assert isinstance(found, Invalid)
+
+
 def test_object_edited_twice_in_one_change_is_refused():
     edit = put(Kind.DRAIN, "u-1")
     assert isinstance(plan(edit, edit), Invalid)
