Warn when a drain takes the last upstream from a service

Cause: a drain of the last replica of a shard passed without a word while the group had upstreams of other services; the shard is then missing from every answer.

Ruled out: refusing it (a partial answer may be what the operator accepts, and the rank as a whole still has upstreams).

Before: no warning. After: a warning on the drain that names the service. An owner that reports its lanes but none for an upstream is shown with an empty queue, not with none.

--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -14,7 +14,7 @@
 from gooseberrymux.membership import Membership
 from gooseberrymux.ownership import find_owner
 from gooseberrymux.platform import BODY_LIMIT_BYTES
-from gooseberrymux.records import RunState, UpstreamRecord
+from gooseberrymux.records import Rank, RunState, UpstreamRecord
 from gooseberrymux.selectors import explain
 from gooseberrymux.status import FleetStatus, Status
 from gooseberrymux.web import Request, Response
@@ -241,6 +241,9 @@
     match services:
         case {"dispatch": {"lanes": {record.name: {"queued": dict(queue)}}}}:
             pass
+        case {"dispatch": {"lanes": dict()}}:
+            # The owner opens a queue with the first sub-request for it.
+            queue = {rank.value: 0 for rank in Rank}
         case _:
             queue = None
     return {
--- a/packages/gooseberrymux/src/gooseberrymux/checks.py
+++ b/packages/gooseberrymux/src/gooseberrymux/checks.py
@@ -210,6 +210,44 @@
     return list(problems.values())
 
 
+def find_emptied_services(
+    *,
+    before: Configuration,
+    after: Configuration,
+    upstreams: Sequence[UpstreamRecord],
+) -> list[Problem]:
+    """Returns the drains that take the last upstream from a service.
+
+    The shards that it serves then are missing from every answer, though the group as
+    a whole still has upstreams.
+    """
+    had = list_live_services(before, upstreams)
+    left = list_live_services(after, upstreams)
+    earlier = {drain.upstream for drain in before.drains}
+    services = {record.name: record.service for record in upstreams}
+    return [
+        Problem(
+            object=name_object(Kind.DRAIN, drain.upstream),
+            field="upstream",
+            message=f"service {services[drain.upstream]!r} is left with no upstream",
+        )
+        for drain in after.drains
+        if drain.upstream not in earlier and services.get(drain.upstream) in had - left
+    ]
+
+
+def list_live_services(
+    configuration: Configuration, upstreams: Sequence[UpstreamRecord]
+) -> set[str]:
+    """Returns the services of all upstreams that take new work."""
+    drained = {drain.upstream for drain in configuration.drains}
+    return {
+        record.service
+        for record in upstreams
+        if record.state is UpstreamState.LIVE and record.name not in drained
+    }
+
+
 class Reach:
     """Which traffic reaches an upstream under one configuration."""
 
--- a/packages/gooseberrymux/src/gooseberrymux/edits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/edits.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from gooseberrymux.checks import (
+    find_emptied_services,
     find_problems,
     find_size_problem,
     find_unreachable,
@@ -312,6 +313,9 @@
     if problems:
         return Invalid(problems=tuple(problems))
     warnings += unreachable
+    warnings += find_emptied_services(
+        before=basis, after=candidate, upstreams=upstreams
+    )
     warnings += find_warnings(
         configuration=candidate, size_bytes=size_bytes, upstreams=upstreams
     )
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -201,6 +201,7 @@
     assert (status, body["generation"]) == (200, 2)
     _, shown = node.call("GET", "/v1/upstreams")
     assert shown["upstreams"][0]["draining"] is True
+    assert shown["upstreams"][0]["owner"] in ("entry-0", "entry-1", "entry-2")
     assert node.call("DELETE", "/v1/drains/u-1")[1]["generation"] == 3
     status, body = node.call("DELETE", "/v1/drains/u-1")
     assert (status, body["warnings"][0]["object"]) == (200, "drain/u-1")
@@ -243,7 +244,9 @@
     assert {item["generation"] for item in fleet["instances"]} == {1}
     assert other.configuration.get_current().generation == 1
     assert fleet["instances"][1]["services"]["configuration"]["generation"] == 1
-    assert upstreams["upstreams"][0]["queue"] in ({"urgent": 3}, None)
+    owner = upstreams["upstreams"][0]["owner"]
+    expected = None if owner == "entry-2" else {"urgent": 3}
+    assert upstreams["upstreams"][0]["queue"] == expected
 
 
 def test_unknown_path_and_malformed_json(node):
--- a/tests/test_selectors.py
+++ b/tests/test_selectors.py
@@ -173,7 +173,8 @@
     assert "left with no upstream" in refused.problems[0].message
     allowed = plan(drain, allow_unreachable=True)
     assert isinstance(allowed, Ready)
-    assert len(allowed.warnings) == len(Rank)
+    # One for each rank and one for the service.
+    assert len(allowed.warnings) == len(Rank) + 1
 
 
 def test_rank_that_had_no_upstream_is_not_reported():
@@ -213,6 +214,15 @@
     assert [item.object for item in ready.warnings] == ["selector/a"]
 
 
+def test_drain_of_the_last_upstream_of_a_service_is_a_warning():
+    """Guards against a shard that is missing from every answer without a word."""
+    other = dataclasses.replace(UPSTREAM, name="u-2", service="s-2")
+    ready = plan(put(Kind.DRAIN, "u-1"), upstreams=(UPSTREAM, other))
+    assert isinstance(ready, Ready)
+    assert [item.object for item in ready.warnings] == ["drain/u-1"]
+    assert "'s-1' is left" in ready.warnings[0].message
+
+
 @pytest.mark.parametrize(("size", "refused"), [(850_000, False), (1_200_000, True)])
 def test_size_near_the_limit_is_a_warning_and_over_it_a_problem(size, refused):
     found = plan(put(Kind.GROUP, "big", index="i", match={}, labels={"x": "y" * size}))
