Write configurations without default fields; index upstreams for the checks

Cause: instances refuse unknown fields, and a document held every field with its default. The first change proposed through an instance of a later release would have been refused by all instances of the earlier one during a rollout. The check for unreachable traffic compared each group with each upstream.

Ruled out: ignoring unknown fields (a mistyped one would fall back to its default).

Before: all fields written. After: only fields that differ from their default; the API shows all. Live upstreams are indexed by label.

Seen failing with the mechanism taken out: defaults written; a group that matches all upstreams looked up under a label (its test was added after this mutation survived).

Conclusion: a later release can add fields; instances of this one decode documents until a new field is used.

--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -8,6 +8,7 @@
 
 from gooseberrymux import admin_bodies, journal, web
 from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.configuration_model import describe_configuration
 from gooseberrymux.edits import Change
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
@@ -139,9 +140,7 @@
         current = self._configuration.get_current()
         if current is None:
             return refuse_not_ready()
-        return web.create_json(
-            status=200, body=admin_bodies.describe_configuration(current)
-        )
+        return web.create_json(status=200, body=describe_configuration(current))
 
     def _handle_change(self, request: Request, operator: str) -> Response:
         match web.read_json(request, limit_bytes=BODY_LIMIT_BYTES):
--- a/packages/gooseberrymux/src/gooseberrymux/admin_bodies.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin_bodies.py
@@ -10,8 +10,7 @@
 from result import Err, Ok, Result
 
 from gooseberrymux import web
-from gooseberrymux.configuration_model import Configuration, Kind, Problem
-from gooseberrymux.configuration_model import encode_configuration as encode_document
+from gooseberrymux.configuration_model import Kind, Problem
 from gooseberrymux.edits import (
     Accepted,
     Change,
@@ -228,11 +227,6 @@
     return [dataclasses.asdict(problem) for problem in problems]
 
 
-def describe_configuration(configuration: Configuration) -> dict:
-    """Returns the JSON form of the configuration in force."""
-    return encode_document(configuration)
-
-
 def describe_fleet(fleet: FleetStatus) -> dict:
     """Returns the JSON form of the fleet's status."""
     return {
--- a/packages/gooseberrymux/src/gooseberrymux/checks.py
+++ b/packages/gooseberrymux/src/gooseberrymux/checks.py
@@ -32,6 +32,8 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
 PRIORITY_LIMIT = 2**31
 
+UpstreamIndex = dict[tuple[str, str] | None, list[UpstreamRecord]]
+
 
 def find_problems(configuration: Configuration) -> list[Problem]:
     """Returns why a configuration is refused; empty if it is not."""
@@ -195,8 +197,9 @@
     """
     if not upstreams:
         return []
-    old = Reach(before, upstreams)
-    new = Reach(after, upstreams)
+    index = index_upstreams(upstreams)
+    old = Reach(before, index)
+    new = Reach(after, index)
     problems: dict[tuple[str, Rank], Problem] = {}
     for traffic in sample_traffic((*before.selectors, *after.selectors)):
         key = (traffic.service, traffic.rank)
@@ -248,16 +251,27 @@
     }
 
 
+def index_upstreams(upstreams: Sequence[UpstreamRecord]) -> UpstreamIndex:
+    """Returns the live upstreams by each of their labels, and all under None.
+
+    Comparing each group with each upstream would take seconds at the future scale.
+    """
+    index: UpstreamIndex = {}
+    for record in upstreams:
+        if record.state is UpstreamState.LIVE:
+            for label in (None, *record.labels.items()):
+                index.setdefault(label, []).append(record)
+    return index
+
+
 class Reach:
     """Which traffic reaches an upstream under one configuration."""
 
-    __slots__ = ("_table", "_usable", "_upstreams", "_drained")
+    __slots__ = ("_table", "_usable", "_index", "_drained")
 
-    def __init__(
-        self, configuration: Configuration, upstreams: Sequence[UpstreamRecord]
-    ):
+    def __init__(self, configuration: Configuration, index: UpstreamIndex):
         self._table = RouteTable(configuration)
-        self._upstreams = upstreams
+        self._index = index
         self._drained = {drain.upstream for drain in configuration.drains}
         self._usable: dict[str, bool] = {}
 
@@ -279,11 +293,11 @@
 
     def _is_usable(self, group: Group) -> bool:
         if group.name not in self._usable:
+            labels = list(group.match.items()) or [None]
+            candidates = min((self._index.get(label, []) for label in labels), key=len)
             self._usable[group.name] = any(
-                record.state is UpstreamState.LIVE
-                and record.name not in self._drained
-                and belongs(record, group)
-                for record in self._upstreams
+                record.name not in self._drained and belongs(record, group)
+                for record in candidates
             )
         return self._usable[group.name]
 
--- a/packages/gooseberrymux/src/gooseberrymux/configuration_model.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration_model.py
@@ -194,7 +194,16 @@
 
 
 def encode_configuration(configuration: Configuration) -> dict:
-    """Returns the document that holds a configuration."""
+    """Returns the document that holds a configuration.
+
+    Fields with their default are left out, so that instances of an earlier release,
+    which refuse unknown fields, go on decoding it until a new field is used.
+    """
+    return _configuration.dump_python(configuration, mode="json", exclude_defaults=True)
+
+
+def describe_configuration(configuration: Configuration) -> dict:
+    """Returns a configuration with all its fields, for people."""
     return _configuration.dump_python(configuration, mode="json")
 
 
--- a/tests/test_selectors.py
+++ b/tests/test_selectors.py
@@ -177,6 +177,15 @@
     assert len(allowed.warnings) == len(Rank) + 1
 
 
+def test_drain_of_the_last_upstream_of_a_group_of_all_is_refused():
+    group = Group(name="all", index="i", match={})
+    basis = configure(select("s", groups=["all"]), groups=[group])
+    other = dataclasses.replace(UPSTREAM, name="u-2", labels={})
+    drain = put(Kind.DRAIN, "u-1")
+    assert isinstance(plan(drain, basis=basis), Invalid)
+    assert isinstance(plan(drain, basis=basis, upstreams=(UPSTREAM, other)), Ready)
+
+
 def test_rank_that_had_no_upstream_is_not_reported():
     before = configure(select("s", groups=["h"]))
     assert not find_unreachable(before=before, after=before, upstreams=[UPSTREAM])
@@ -253,3 +262,11 @@
     assert again == Accepted(generation=2)
     assert isinstance(other, Invalid)
     assert other.problems[0].field == "change_id"
+
+
+def test_field_with_its_default_is_not_written():
+    """Guards against instances of an earlier release that refuse every new document."""
+    ready = plan(put(Kind.GROUP, "n", index="i", match={}))
+    assert isinstance(ready, Ready)
+    assert ready.body["groups"][-1] == {"name": "n", "index": "i", "match": {}}
+    assert decode_configuration(ready.body).groups[-1].outcome_lookup is False
