--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -1,12 +1,15 @@
 """Caller API over HTTP and JSON: query, order, health, metrics."""
 
 import dataclasses
+import math
+from typing import Annotated
 
 import cheroot.wsgi
 import pydantic
 from result import Err, Ok, Result
 
 from gooseberrymux import metrics, web
+from gooseberrymux.admission import Admission
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
 from gooseberrymux.kernel import Kernel, service
@@ -17,6 +20,7 @@
 from gooseberrymux.web import Request, Response
 
 REFUSAL_STATUS = {"no_route": 404, "overloaded": 429, "deadline_expired": 504}
+MS_PER_S = 1000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,10 +34,13 @@
     terms: dict
     labels: dict[str, str] = dataclasses.field(default_factory=dict)
     deadline_ms: int | None = None
-    minimum_coverage: float = 0.0
+    minimum_coverage: Annotated[float, pydantic.Field(ge=0.0, le=1.0)] = 0.0
 
 
-@service("api", requires=("queries", "orders", "calls", "configuration", "snapshots"))
+@service(
+    "api",
+    requires=("queries", "orders", "calls", "configuration", "snapshots", "admission"),
+)
 class Api:
     """Serves callers, one worker thread a connection."""
 
@@ -44,6 +51,7 @@
         "_calls",
         "_configuration",
         "_snapshots",
+        "_admission",
         "_server",
         "_draining",
     )
@@ -55,6 +63,7 @@
         self._calls = kernel.find("calls", Calls)
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
+        self._admission = kernel.find("admission", Admission)
         self._server: cheroot.wsgi.Server | None = None
         self._draining = False
 
@@ -104,6 +113,7 @@
 
     def _handle_query(self, request: Request) -> Response:
         settings = self._kernel.settings
+        started_ms = self._kernel.clock.now_ms()
         match web.read_json(request, limit_bytes=settings.api.body_limit_bytes):
             case Err(response):
                 return response
@@ -129,11 +139,21 @@
             deadline_ms=self._kernel.clock.now_ms() + deadline_ms,
             minimum_coverage=body.minimum_coverage,
         )
-        match self._queries.run(query):
+        with self._admission.hold(body.rank) as refused:
+            result = Err(refused) if refused else self._queries.run(query)
+        match result:
             case Ok(answer):
-                return web.create_json(status=200, body=describe_answer(answer))
+                outcome = "partial" if answer.missing else "complete"
+                response = web.create_json(status=200, body=describe_answer(answer))
             case Err(refusal):
-                return create_refusal(refusal)
+                outcome = refusal.code
+                response = create_refusal(refusal)
+        rank = body.rank.value
+        metrics.requests_total.inc({"kind": "query", "rank": rank, "outcome": outcome})
+        metrics.request_ms.observe(
+            {"kind": "query", "rank": rank}, self._kernel.clock.now_ms() - started_ms
+        )
+        return response
 
     def _handle_order(self, request: Request) -> Response:
         limit_bytes = self._kernel.settings.api.body_limit_bytes
@@ -143,9 +163,11 @@
             case Err(response):
                 return response
             case Ok(body):
-                return self._orders.submit(
-                    request, caller=read_caller(request), body=body
-                )
+                pass
+        with self._admission.hold(body.rank) as refused:
+            if refused:
+                return create_refusal(refused)
+            return self._orders.submit(request, caller=read_caller(request), body=body)
 
     def _handle_health(self) -> Response:
         state = "ready"
@@ -199,10 +221,15 @@
 
 
 def create_refusal(refusal: Refusal) -> Response:
-    """Returns the typed error of a refusal."""
-    return web.create_error(
+    """Returns the typed error of a refusal, with the hint when to try again."""
+    response = web.create_error(
         status=REFUSAL_STATUS.get(refusal.code, 503),
         code=refusal.code,
         message=refusal.message,
         run_state=refusal.run_state.value,
     )
+    if refusal.retry_after_ms is None:
+        return response
+    # The header counts whole seconds.
+    seconds = math.ceil(refusal.retry_after_ms / MS_PER_S)
+    return dataclasses.replace(response, headers={"Retry-After": str(seconds)})
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -45,6 +45,7 @@
     Traffic,
     UpstreamRecord,
 )
+from gooseberrymux.routing import Routing
 from gooseberrymux.settings import parse_settings
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
@@ -197,7 +198,6 @@
     def __init__(self, *, world, instance):
         self._world = world
         self._instance = instance
-        self._in_flight = {}
 
     def create_id(self, kind):
         return self._world.create_id(kind)
@@ -301,6 +301,7 @@
             ("inventory", FixedInventory()),
         ):
             self.kernel.add(service_name, fake)
+        self.kernel.add("routing", Routing(kernel=self.kernel))
         self.claims = Claims(kernel=self.kernel)
         self.kernel.add("claims", self.claims)
         self.orders = Orders(kernel=self.kernel)
