Check the platform's list of upstreams and instances before it is in force

Cause: configuration and indexes were checked before they were in force, the list was not. An instance that starts would have got an undecodable list from its peers and known no upstream, while the others kept the last good one.

Before: the list was put in force whatever it held. After: it is rejected, shown in the status, and the last good one is what new instances get.

Seen failing without each of the two checks: test_document_that_does_not_decode_is_not_in_force_and_shown.

Conclusion: all three watched prefixes have a check.

--- a/packages/gooseberrymux/src/gooseberrymux/configuration.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration.py
@@ -19,7 +19,7 @@
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.platform import Platform
 from gooseberrymux.proposals import CONFIGURATION_NAME, Proposal
-from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.records import InstanceRecord, UpstreamRecord
 
 __all__ = [
     "CONFIGURATION_NAME",
@@ -36,6 +36,7 @@
 UPSTREAMS_NAME = "instances"
 
 _upstreams = pydantic.TypeAdapter(list[UpstreamRecord])
+_instances = pydantic.TypeAdapter(list[InstanceRecord])
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -66,6 +67,8 @@
         self._outcomes: dict[str, int] = {}
         self._lock = threading.Lock()
         self._documents.register_check(CONFIGURATION_NAME, check_document)
+        # Here and not in the inventory because proposals read the list as well.
+        self._documents.register_check(UPSTREAMS_NAME, check_lists)
         kernel.subscribe(DocumentChanged, self._handle_document)
 
     def start(self) -> None:
@@ -118,18 +121,15 @@
         return outcome
 
     def _list_upstreams(self) -> tuple[UpstreamRecord, ...]:
-        """Returns the platform's list, or nothing if it does not decode.
+        """Returns the platform's list, or nothing if it is not known here.
 
         It is read as a document because the inventory depends on this service's model.
         """
         document = self._documents.get(UPSTREAMS_NAME)
         if document is None:
             return ()
-        try:
-            return tuple(_upstreams.validate_python(document.body.get("upstreams", [])))
-        except pydantic.ValidationError:
-            # The inventory logs the fault; the checks that need the list are left out.
-            return ()
+        # It has passed `check_lists` before it was put in force.
+        return tuple(_upstreams.validate_python(document.body.get("upstreams", [])))
 
     def _handle_document(self, event: DocumentChanged) -> None:
         if event.name != CONFIGURATION_NAME:
@@ -147,3 +147,15 @@
     except ConfigurationError as error:
         return error.message
     return None
+
+
+def check_lists(body: dict) -> str | None:
+    """Returns why a document is no list of upstreams and instances, or None."""
+    try:
+        _upstreams.validate_python(body.get("upstreams", []))
+        _instances.validate_python(body.get("instances", []))
+    except pydantic.ValidationError as error:
+        problem = error.errors()[0]
+        place = ".".join(str(part) for part in problem["loc"])
+        return f"{place}: {problem['msg']}"
+    return None
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -249,6 +249,19 @@
     assert upstreams["upstreams"][0]["queue"] == expected
 
 
+@pytest.mark.parametrize("name", ["instances", "configuration/current"])
+def test_document_that_does_not_decode_is_not_in_force_and_shown(node, name):
+    """Guards against a list or configuration that a new instance can't use."""
+    node.change("one")
+    before = node.documents.get(name)
+    body = {"generation": 9, "upstreams": [{"name": 1}], "instances": 2}
+    node.documents.offer_body(name=name, body=body, source="platform")
+    assert node.documents.get(name) == before
+    status = node.admin._status.describe_instance()
+    assert name in status["services"]["documents"]["problems"]
+    assert node.change("two", [{**EDITS[0], "name": "h"}], base=1)[0] == 200
+
+
 def test_unknown_path_and_malformed_json(node):
     assert node.call("GET", "/v1/other")[0] == 404
     assert node.call("POST", "/v1/configuration/changes", [1])[0] == 400
