--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -8,13 +8,14 @@
 
 from gooseberrymux import admin_bodies, journal, web
 from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.configuration_model import describe_configuration
 from gooseberrymux.edits import Change
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import Membership
 from gooseberrymux.ownership import find_owner
 from gooseberrymux.platform import BODY_LIMIT_BYTES
-from gooseberrymux.records import RunState, UpstreamRecord
+from gooseberrymux.records import Rank, RunState, UpstreamRecord
 from gooseberrymux.selectors import explain
 from gooseberrymux.status import FleetStatus, Status
 from gooseberrymux.web import Request, Response
@@ -139,9 +140,7 @@
         current = self._configuration.get_current()
         if current is None:
             return refuse_not_ready()
-        return web.create_json(
-            status=200, body=admin_bodies.describe_configuration(current)
-        )
+        return web.create_json(status=200, body=describe_configuration(current))
 
     def _handle_change(self, request: Request, operator: str) -> Response:
         match web.read_json(request, limit_bytes=BODY_LIMIT_BYTES):
@@ -241,6 +240,9 @@
     match services:
         case {"dispatch": {"lanes": {record.name: {"queued": dict(queue)}}}}:
             pass
+        case {"dispatch": {"lanes": dict()}}:
+            # The owner opens a queue with the first sub-request for it.
+            queue = {rank.value: 0 for rank in Rank}
         case _:
             queue = None
     return {
