--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -1,10 +1,7 @@
 """Administration API, on an address that callers can't reach, with operator tokens."""
 
-import dataclasses
-import hmac
-
 import cheroot.wsgi
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from gooseberrymux import admin_bodies, journal, web
 from gooseberrymux.configuration import ConfigurationService
@@ -18,6 +15,7 @@
 from gooseberrymux.records import Rank, RunState, UpstreamRecord
 from gooseberrymux.selectors import explain
 from gooseberrymux.status import FleetStatus, Status
+from gooseberrymux.tokens import authenticate
 from gooseberrymux.web import Request, Response
 
 THREADS = 8
@@ -70,7 +68,8 @@
 
     def handle(self, request: Request) -> Response:
         """Answers one request of an operator and logs it with the operator's name."""
-        match self._authenticate(request):
+        tokens = self._kernel.settings.api.operator_tokens
+        match authenticate(request, tokens=tokens):
             case Err(response):
                 operator = ""
             case Ok(operator):
@@ -85,32 +84,6 @@
         )
         return response
 
-    def _authenticate(self, request: Request) -> Result[str, Response]:
-        scheme, _, token = request.headers.get("authorization", "").partition(" ")
-        if scheme.lower() != "bearer" or not token.strip():
-            refusal = web.create_error(
-                status=401,
-                code="unauthenticated",
-                message="expected an Authorization header with a bearer token",
-                run_state=RunState.NOT_RUN.value,
-            )
-            return Err(
-                dataclasses.replace(refusal, headers={"WWW-Authenticate": "Bearer"})
-            )
-        operator = find_operator(
-            token=token.strip(), tokens=self._kernel.settings.api.operator_tokens
-        )
-        if operator is None:
-            return Err(
-                web.create_error(
-                    status=403,
-                    code="unknown_token",
-                    message="the token is not an operator's",
-                    run_state=RunState.NOT_RUN.value,
-                )
-            )
-        return Ok(operator)
-
     def _handle_authenticated(self, request: Request, operator: str) -> Response:
         match (request.method, request.path):
             case ("GET", "/v1/configuration"):
@@ -218,20 +191,6 @@
         )
 
 
-def find_operator(*, token: str, tokens: dict[str, str]) -> str | None:
-    """Returns the operator of a token, or None.
-
-    Every token is compared, each in constant time, so that the time of the answer
-    tells nothing about a token that is nearly right.
-    """
-    found = None
-    given = token.encode()
-    for known, operator in tokens.items():
-        if hmac.compare_digest(known.encode(), given):
-            found = operator
-    return found
-
-
 def describe_upstream(
     *, record: UpstreamRecord, owner: str | None, draining: bool, fleet: FleetStatus
 ) -> dict:
