Give cancels a task of their own and count items until their outcome is out

The lane held the queue of cancels beside its own; one class for each connection reads straighter. A lane counts an item as pending until its outcome was handed over, which a drain can wait for.

--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -77,7 +77,7 @@
             "draining": self._draining,
             "lanes": {
                 name: {
-                    "running": lane.running,
+                    "pending": lane.pending,
                     "queued": {
                         rank.value: count
                         for rank, count in lane.count_by_rank().items()
--- a/packages/gooseberrymux/src/gooseberrymux/lanes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/lanes.py
@@ -1,11 +1,11 @@
 """One upstream at its owner: the rank queue and a thread for each connection."""
 
-import collections
 import dataclasses
 import threading
 from collections.abc import Callable
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.canceller import Canceller
 from gooseberrymux.exchange import REASON_DEADLINE, Exchange
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.messages import (
@@ -27,8 +27,6 @@
 # A lane without work for this long closes its connections, so that an upstream's
 # connection limit is not used up by instances that no longer own it.
 LANE_IDLE_MS = 30_000
-CANCEL_IDLE_MS = 5_000
-CANCEL_LIMIT = 64
 # Weight of the newest sample in the service time estimate of a lane.
 SERVICE_TIME_WEIGHT = 0.2
 # An older estimate is not used: work that it refuses would have renewed it, so a
@@ -113,12 +111,11 @@
         "_closed",
         "_threads",
         "_running",
+        "_unanswered",
         "_service_ms",
         "_measured_ms",
         "_used_ms",
-        "_cancels",
-        "_cancel_added",
-        "_cancel_thread",
+        "_canceller",
         "_on_idle",
     )
 
@@ -145,12 +142,15 @@
         self._closed = False
         self._threads = 0
         self._running: dict[str, QueuedItem] = {}
+        self._unanswered = 0
         self._service_ms = 0.0
         self._measured_ms = float("-inf")
         self._used_ms = kernel.clock.now_ms()
-        self._cancels: collections.deque[str] = collections.deque(maxlen=CANCEL_LIMIT)
-        self._cancel_added = threading.Condition(self._lock)
-        self._cancel_thread = False
+        self._canceller = Canceller(
+            kernel=kernel,
+            get_record=lambda: self.record,
+            is_running=lambda subrequest_id: subrequest_id in self._running,
+        )
 
     def start(self) -> None:
         """Starts one thread for each connection that is missing."""
@@ -192,7 +192,7 @@
                 # An order is never stopped half way: its outcome is worth more than
                 # the slot.
                 if running.requester == requester and not running.subrequest.order_key:
-                    self._add_cancel(subrequest_id)
+                    self._canceller.add(subrequest_id)
                 return []
             return self._queue.remove(
                 lambda item: (
@@ -211,13 +211,15 @@
         with self._lock:
             self._closed = True
             self._changed.notify_all()
-            self._cancel_added.notify_all()
-            return self._queue.remove(lambda item: True)
+            items = self._queue.remove(lambda item: True)
+        self._canceller.close()
+        return items
 
     @property
-    def running(self) -> int:
-        """Exchanges in flight."""
-        return len(self._running)
+    def pending(self) -> int:
+        """Items that are queued, in flight, or whose outcome is being handed over."""
+        with self._lock:
+            return len(self._queue) + self._unanswered
 
     def count_by_rank(self) -> dict[Rank, int]:
         """Returns the number of queued items of each rank."""
@@ -235,8 +237,12 @@
                 exchange = replace_exchange(exchange, self.record, self._kernel)
             outcome = self._run(exchange, item)
             item.reply(self._finish(item, outcome))
+            with self._lock:
+                # Only now: a drain that waits for this must not miss the outcome.
+                self._unanswered -= 1
         exchange.close()
-        if self._closed and not self._running:
+        if self._closed and not self.pending:
+            self._canceller.close()
             self._on_idle(self)
 
     def _take(self, number: int) -> QueuedItem | None:
@@ -251,6 +257,7 @@
                 item = self._queue.take()
                 if item is not None:
                     self._running[item.subrequest.id] = item
+                    self._unanswered += 1
                     return item
                 if not self._kernel.clock.wait(self._changed, LANE_IDLE_MS):
                     self._close_if_idle()
@@ -260,7 +267,6 @@
         if idle_ms >= LANE_IDLE_MS and not self._running and not len(self._queue):
             self._closed = True
             self._changed.notify_all()
-            self._cancel_added.notify_all()
             journal.record_event("dispatch.lane_closed", upstream=self.record.name)
 
     def _run(self, exchange: Exchange, item: QueuedItem) -> SubrequestOutcome:
@@ -331,43 +337,6 @@
             case LateRefusal():
                 return False
 
-    def _add_cancel(self, subrequest_id: str) -> None:
-        self._cancels.append(subrequest_id)
-        if self._cancel_thread:
-            self._cancel_added.notify()
-            return
-        self._cancel_thread = True
-        self._kernel.spawn(
-            name=f"dispatch.{self.record.name}.cancel", target=self._serve_cancels
-        )
-
-    def _serve_cancels(self) -> None:
-        # A connection of its own, because the other connections wait for replies.
-        exchange = Exchange(record=self.record, clock=self._kernel.clock)
-        while (subrequest_id := self._take_cancel()) is not None:
-            if not exchange.cancel(subrequest_id):
-                journal.record_event(
-                    "dispatch.cancel_failed",
-                    upstream=self.record.name,
-                    subrequest=subrequest_id,
-                )
-        exchange.close()
-
-    def _take_cancel(self) -> str | None:
-        with self._lock:
-            while True:
-                while self._cancels:
-                    subrequest_id = self._cancels.popleft()
-                    if subrequest_id in self._running:
-                        return subrequest_id
-                if self._closed or not self._kernel.clock.wait(
-                    self._cancel_added, CANCEL_IDLE_MS
-                ):
-                    if self._cancels:
-                        continue
-                    self._cancel_thread = False
-                    return None
-
 
 def replace_exchange(
     exchange: Exchange, record: UpstreamRecord, kernel: Kernel
