--- a/packages/gooseberrymux/src/gooseberrymux/admission.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admission.py
@@ -14,17 +14,31 @@
 DURATION_WEIGHT = 0.1
 # A caller that retries sooner meets the same requests in progress.
 RETRY_AFTER_MINIMUM_MS = 100
+# After requests whose sub-requests waited too long or were refused for load, fewer are
+# admitted; without this, an overloaded tier starts every query and completes none.
+# Additive increase and multiplicative decrease, as in TCP's congestion control.
+DECREASE_FACTOR = 0.8
+# Requests that were admitted before a decrease do not cause the next one.
+DECREASE_INTERVAL_MS = 200.0
+SMALLEST_WINDOW = 2.0
 
 
 class RankGate:
     """Requests of one rank in progress."""
 
-    __slots__ = ("limit", "in_progress", "duration_ms")
+    __slots__ = ("limit", "window", "in_progress", "duration_ms", "decreased_ms")
 
     def __init__(self, *, limit: int):
         self.limit = limit
+        self.window = float(limit)
         self.in_progress = 0
         self.duration_ms = 0.0
+        self.decreased_ms = float("-inf")
+
+    @property
+    def admitted(self) -> int:
+        """Requests that may be in progress now."""
+        return min(self.limit, int(self.window))
 
 
 @service("admission")
@@ -66,22 +80,26 @@
         """Nothing to stop."""
 
     def describe(self) -> dict:
-        """Returns the requests in progress by rank."""
-        return {rank.value: gate.in_progress for rank, gate in self._gates.items()}
+        """Returns the requests in progress and the limit now, by rank."""
+        return {
+            rank.value: {"in_progress": gate.in_progress, "limit": gate.admitted}
+            for rank, gate in self._gates.items()
+        }
 
     def enter(self, rank: Rank) -> Result[None, Refusal]:
         """Counts a request in, or refuses it; each `Ok` needs one `leave`."""
         gate = self._gates[rank]
         with self._lock:
-            if gate.in_progress < gate.limit:
+            limit = gate.admitted
+            if gate.in_progress < limit:
                 gate.in_progress += 1
                 return Ok(None)
             # With `limit` requests in progress one ends in each such interval.
-            retry_ms = max(RETRY_AFTER_MINIMUM_MS, gate.duration_ms / gate.limit)
+            retry_ms = max(RETRY_AFTER_MINIMUM_MS, gate.duration_ms / limit)
         return Err(
             Refusal(
                 code="overloaded",
-                message=f"{gate.limit} {rank.value} requests are in progress, "
+                message=f"{limit} {rank.value} requests are in progress, "
                 "which is the limit",
                 run_state=RunState.NOT_RUN,
                 step="admission.enter",
@@ -96,6 +114,26 @@
             gate.in_progress -= 1
             gate.duration_ms += DURATION_WEIGHT * (duration_ms - gate.duration_ms)
 
+    def note_load(self, rank: Rank, *, overloaded: bool) -> None:
+        """Adapts the limit of a rank, up to the configured one.
+
+        Args:
+            rank: Rank of a request that has ended.
+            overloaded: Whether the queues that it met were too long for it.
+        """
+        gate = self._gates[rank]
+        with self._lock:
+            if not overloaded:
+                gate.window = min(gate.limit, gate.window + 1.0 / gate.window)
+                return
+            now_ms = self._clock.now_ms()
+            if now_ms - gate.decreased_ms < DECREASE_INTERVAL_MS:
+                return
+            gate.decreased_ms = now_ms
+            # From what was in progress, if that was less than the limit.
+            in_use = min(gate.window, gate.in_progress)
+            gate.window = max(SMALLEST_WINDOW, in_use * DECREASE_FACTOR)
+
     @contextlib.contextmanager
     def hold(self, rank: Rank) -> Iterator[Refusal | None]:
         """Counts a request in for the length of a `with` block.
--- a/packages/gooseberrymux/src/gooseberrymux/gather.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gather.py
@@ -5,6 +5,7 @@
 import heapq
 
 from gooseberrymux import metrics
+from gooseberrymux.admission import Admission
 from gooseberrymux.budgets import Budgets
 from gooseberrymux.calls import Calls, Inbox
 from gooseberrymux.clock import Clock
@@ -25,6 +26,7 @@
     ABANDONED,
     REASON_NO_REPLICA,
     REASON_OTHER_SNAPSHOT,
+    REASONS_LOAD,
     REASONS_STALE,
     REASONS_UNBUDGETED,
     Attempt,
@@ -44,6 +46,10 @@
 # document may still be on its way; both pass within this time or not soon.
 VERSION_WAIT_MS = 500.0
 VERSION_RETRY_LIMIT_MS = 160.0
+# Shares of a query's time spent in one queue, and of its shards refused for load, above
+# which its rank is taken for overloaded.
+QUEUED_SHARE = 0.5
+REFUSED_SHARE = 0.1
 # How soon to look again for a hedge delay that was not known yet.
 HEDGE_RECHECK_MS = 25.0
 
@@ -80,6 +86,7 @@
     snapshots: Snapshots
     budgets: Budgets
     latencies: Latencies
+    admission: Admission
     clock: Clock
     cancel_losers: bool
 
@@ -101,6 +108,10 @@
         "_timer_count",
         "_counts",
         "_stale_until_ms",
+        "_refused_for_load",
+        "_longest_queued_ms",
+        "_allowed_ms",
+        "_overloaded",
         "may_have_run",
     )
 
@@ -123,6 +134,10 @@
         self._timer_count = 0
         self._counts: collections.Counter[tuple[str, str]] = collections.Counter()
         self._stale_until_ms: float | None = None
+        self._refused_for_load: set[str] = set()
+        self._longest_queued_ms = 0.0
+        self._allowed_ms = query.deadline_ms - tools.clock.now_ms()
+        self._overloaded = False
         self.may_have_run = False
 
     def run(self) -> Gathered | VersionReplaced:
@@ -133,6 +148,19 @@
             self._abandon(list(self._attempts))
             self._publish_counts()
 
+    def _note_load(self) -> None:
+        """Reports overload as soon as it shows, since queries may last for seconds.
+
+        What counts is what the owners report and not the time it took: a frozen
+        replica makes queries slow as well, and admitting fewer would not help.
+        """
+        if self._overloaded:
+            return
+        refused = len(self._refused_for_load) > REFUSED_SHARE * len(self._shards)
+        if refused or self._longest_queued_ms > QUEUED_SHARE * self._allowed_ms:
+            self._overloaded = True
+            self._tools.admission.note_load(self._query.traffic.rank, overloaded=True)
+
     def _gather(self) -> Gathered | VersionReplaced:
         clock, deadline_ms = self._tools.clock, self._query.deadline_ms
         for shard in self._shards:
@@ -144,6 +172,8 @@
             if newer := self._find_newer():
                 return VersionReplaced(newer=newer)
             self._run_timers()
+        if not self._overloaded:
+            self._tools.admission.note_load(self._query.traffic.rank, overloaded=False)
         for shard, state in self._shards.items():
             if shard not in self._hits and shard not in self._missing:
                 self._missing[shard] = state.reason
@@ -186,6 +216,10 @@
         match outcome:
             case SubrequestCompleted(version=version, shard=shard, reply=reply):
                 self.may_have_run = True
+                self._longest_queued_ms = max(
+                    self._longest_queued_ms, outcome.queued_ms
+                )
+                self._note_load()
                 if version != self._snapshot.version or shard != attempt.shard:
                     metrics.dropped_total.inc({"reason": REASON_OTHER_SNAPSHOT})
                     self._fail(attempt, REASON_OTHER_SNAPSHOT)
@@ -195,6 +229,9 @@
                     metrics.dropped_total.inc({"reason": "reply_without_hits"})
                     self._fail(attempt, REASON_MALFORMED)
             case SubrequestNotRun(reason=reason):
+                if reason in REASONS_LOAD:
+                    self._refused_for_load.add(attempt.shard)
+                    self._note_load()
                 self._fail(attempt, reason)
             case SubrequestUnknown(reason=reason):
                 self.may_have_run = True
--- a/packages/gooseberrymux/src/gooseberrymux/queries.py
+++ b/packages/gooseberrymux/src/gooseberrymux/queries.py
@@ -3,6 +3,7 @@
 from result import Err, Ok, Result
 
 from gooseberrymux import journal
+from gooseberrymux.admission import Admission
 from gooseberrymux.budgets import Budgets
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
@@ -23,7 +24,14 @@
 
 @service(
     "queries",
-    requires=("calls", "configuration", "snapshots", "inventory", "routing"),
+    requires=(
+        "calls",
+        "configuration",
+        "snapshots",
+        "inventory",
+        "routing",
+        "admission",
+    ),
 )
 class Queries:
     """Runs queries, each in its caller's thread."""
@@ -42,6 +50,7 @@
             snapshots=self._snapshots,
             budgets=Budgets(settings=settings.ranks),
             latencies=Latencies(policy=create_hedge_policy(settings)),
+            admission=kernel.find("admission", Admission),
             clock=kernel.clock,
             cancel_losers=settings.policy.cancel_losers,
         )
--- a/packages/gooseberrymux/src/gooseberrymux/shards.py
+++ b/packages/gooseberrymux/src/gooseberrymux/shards.py
@@ -5,10 +5,16 @@
 from gooseberrymux.calls import REASON_PEER_LOST
 from gooseberrymux.exchange import (
     REASON_CONNECT,
+    REASON_DEADLINE,
+    REASON_SHED,
     REASON_VERSION_GONE,
     REASON_WRONG_SHARD,
 )
-from gooseberrymux.lanes import REASON_LEAVING, REASON_UNKNOWN_UPSTREAM
+from gooseberrymux.lanes import (
+    REASON_LEAVING,
+    REASON_QUEUE_FULL,
+    REASON_UNKNOWN_UPSTREAM,
+)
 
 REASON_QUERY_DEADLINE = "deadline"
 REASON_NO_REPLICA = "no_replica"
@@ -19,6 +25,8 @@
 REASONS_STALE = frozenset(
     {REASON_VERSION_GONE, REASON_WRONG_SHARD, REASON_OTHER_SNAPSHOT}
 )
+# A queue or the upstream was full, or its queue too long for the deadline.
+REASONS_LOAD = frozenset({REASON_QUEUE_FULL, REASON_DEADLINE, REASON_SHED})
 # The sub-request never reached an upstream, or was turned away for its version, so
 # that a retry is no extra load and needs no budget. A lost owner takes many calls
 # with it at once and each fails over only once, so that the budget, which would run
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -44,10 +44,40 @@
                 assert refused is None
                 clock.advance(40_000)
                 raise ZeroDivisionError
-    assert admission.describe()["urgent"] == 0
+    assert admission.describe()["urgent"]["in_progress"] == 0
     with admission.hold(Rank.URGENT), admission.hold(Rank.URGENT) as refused:
         assert refused.retry_after_ms > 5_000
-    assert admission.describe()["urgent"] == 0
+    assert admission.describe()["urgent"]["in_progress"] == 0
+
+
+def count_admitted(admission, rank):
+    count = 0
+    while admission.enter(rank).is_ok():
+        count += 1
+    for _ in range(count):
+        admission.leave(rank, duration_ms=1.0)
+    return count
+
+
+def test_overload_lowers_the_limit_and_good_answers_raise_it_again():
+    # Guards against a tier that starts every query of a flood and completes none.
+    clock = ManualClock()
+    admission = create_admission(clock, ranks={"urgent": {"request_limit": 20}})
+    for _ in range(20):
+        admission.enter(Rank.URGENT)
+    for _ in range(5):
+        admission.note_load(Rank.URGENT, overloaded=True)
+    assert admission.describe()["urgent"]["limit"] == 16  # once an interval
+    for _ in range(50):
+        clock.advance(1_000)
+        admission.note_load(Rank.URGENT, overloaded=True)
+    assert admission.describe()["urgent"]["limit"] == 2
+    assert admission.describe()["patient"]["limit"] == 8
+    for _ in range(20):
+        admission.leave(Rank.URGENT, duration_ms=1.0)
+    for _ in range(400):
+        admission.note_load(Rank.URGENT, overloaded=False)
+    assert count_admitted(admission, Rank.URGENT) == 20
 
 
 def test_limits_that_leave_no_thread_are_refused_at_the_start():
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -38,7 +38,15 @@
         self.gate.acquire()
         asked.complete()
 
-    def submit(self, name, *, rank=Rank.STANDARD, remaining_ms=60_000.0, requester=""):
+    def submit(
+        self,
+        name,
+        *,
+        rank=Rank.STANDARD,
+        remaining_ms=60_000.0,
+        requester="",
+        order_key="",
+    ):
         subrequest = Subrequest(
             id=name,
             request_id="q",
@@ -47,6 +55,7 @@
             remaining_ms=remaining_ms,
             version="v1",
             shard="x",
+            order_key=order_key,
         )
         self.dispatch.submit(
             subrequest,
@@ -181,6 +190,20 @@
     assert len(bench.list_asked()) == 2
 
 
+def test_a_running_order_is_not_cancelled_half_way(start):
+    # Guards against an order whose outcome becomes unknown by our own doing.
+    bench = start()
+    bench.submit("order", requester="e1", order_key="k")
+    bench.wait_running("order")
+    bench.submit("query", requester="e1")
+    for name in ("order", "query"):
+        bench.dispatch.cancel(name, upstream="u", requester="e1")
+    bench.wait("query")
+    bench.gate.release()
+    assert isinstance(bench.wait("order")[0], SubrequestCompleted)
+    assert bench.list_asked() == [("/orders", "order")]
+
+
 def test_a_subrequest_that_arrives_twice_runs_once(start):
     # Guards against an order that a repeated frame runs twice.
     bench = start()
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from gooseberrymux.admission import Admission
 from gooseberrymux.calls import Calls
 from gooseberrymux.messages import (
     CancelSubrequest,
@@ -340,6 +341,17 @@
     assert fail("connect_failed").run_state is RunState.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ("kind", "lowered"), [("queue_full", True), ("connect_failed", False)]
+)
+def test_only_load_lowers_the_limit_of_requests(kind, lowered):
+    # Guards against lost replicas that are taken for overload.
+    simulation = Simulation(lambda n, sub: [(1.0, kind)])
+    simulation.run()
+    limit = simulation.kernel.find("admission", Admission).describe()["urgent"]["limit"]
+    assert (limit < 24) == lowered
+
+
 def test_a_shard_without_replicas_is_named():
     simulation = Simulation(lambda n, sub: [(1.0, "ok")], replicas=0)
     found = simulation.run().unwrap()
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -103,6 +103,16 @@
     assert count_taken(queue, 420)[Rank.PATIENT] == pytest.approx(20, abs=2)
 
 
+def test_a_rank_that_was_idle_waits_for_its_weight():
+    # Guards against a patient item that overtakes urgent ones by arriving late.
+    queue = create_queue(WEIGHTED)
+    fill(queue, {Rank.URGENT: 100})
+    count_taken(queue, 40)
+    fill(queue, {Rank.PATIENT: 1})
+    assert count_taken(queue, 15)[Rank.PATIENT] == 0
+    assert count_taken(queue, 2)[Rank.PATIENT] == 1
+
+
 @pytest.mark.parametrize("policy", [WEIGHTED, FLOORS])
 def test_a_rank_that_comes_and_goes_gets_no_more_than_its_share(policy):
     # Guards against a rank that gains by emptying its queue between its items, or by
