Answer before the deadline and not at it

Cause: in the urgent flood 480 of 1847 queries were late by a few milliseconds: a gathering that runs until the deadline leaves no time to merge and send its partial answer. A margin of 20 ms, at most a tenth of the time, is now kept.

--- a/packages/gooseberrymux/src/gooseberrymux/gather.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gather.py
@@ -30,10 +30,12 @@
     REASONS_STALE,
     REASONS_UNBUDGETED,
     Attempt,
+    Gathered,
     HedgeDue,
     RetryDue,
     ShardState,
     Timer,
+    VersionReplaced,
 )
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
@@ -46,6 +48,10 @@
 # document may still be on its way; both pass within this time or not soon.
 VERSION_WAIT_MS = 500.0
 VERSION_RETRY_LIMIT_MS = 160.0
+# Kept to merge and send the answer: one that is ready only at the deadline is late for
+# the caller.
+ANSWER_MARGIN_MS = 20.0
+ANSWER_MARGIN_SHARE = 0.1
 # Shares of a query's time spent in one queue, and of its shards refused for load, above
 # which its rank is taken for overloaded.
 QUEUED_SHARE = 0.5
@@ -54,28 +60,6 @@
 HEDGE_RECHECK_MS = 25.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Gathered:
-    """What the shards of one version gave.
-
-    Attributes:
-        snapshot: The version.
-        hits: Replies by covered shard.
-        missing: The other shards.
-    """
-
-    snapshot: Snapshot
-    hits: dict[str, list]
-    missing: tuple[MissingShard, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class VersionReplaced:
-    """The pinned version went away and a newer one is known."""
-
-    newer: Snapshot
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Toolbox:
     """What every gathering of this instance works with."""
@@ -111,6 +95,7 @@
         "_refused_for_load",
         "_longest_queued_ms",
         "_allowed_ms",
+        "_until_ms",
         "_overloaded",
         "may_have_run",
     )
@@ -136,7 +121,10 @@
         self._stale_until_ms: float | None = None
         self._refused_for_load: set[str] = set()
         self._longest_queued_ms = 0.0
-        self._allowed_ms = query.deadline_ms - tools.clock.now_ms()
+        allowed_ms = query.deadline_ms - tools.clock.now_ms()
+        margin_ms = min(ANSWER_MARGIN_MS, ANSWER_MARGIN_SHARE * allowed_ms)
+        self._allowed_ms = allowed_ms - margin_ms
+        self._until_ms = query.deadline_ms - margin_ms
         self._overloaded = False
         self.may_have_run = False
 
@@ -162,12 +150,12 @@
             self._tools.admission.note_load(self._query.traffic.rank, overloaded=True)
 
     def _gather(self) -> Gathered | VersionReplaced:
-        clock, deadline_ms = self._tools.clock, self._query.deadline_ms
+        clock, until_ms = self._tools.clock, self._until_ms
         for shard in self._shards:
             self._send(shard, "first")
-        while self._count_open() and clock.now_ms() < deadline_ms:
-            next_ms = self._timers[0][0] if self._timers else deadline_ms
-            for outcome in self._inbox.take(min(next_ms, deadline_ms)):
+        while self._count_open() and clock.now_ms() < until_ms:
+            next_ms = self._timers[0][0] if self._timers else until_ms
+            for outcome in self._inbox.take(min(next_ms, until_ms)):
                 self._handle_outcome(outcome)
             if newer := self._find_newer():
                 return VersionReplaced(newer=newer)
@@ -256,7 +244,7 @@
         if reason in REASONS_STALE and self._stale_until_ms is None:
             # Half of the time left is kept for a restart.
             now_ms = self._tools.clock.now_ms()
-            left_ms = self._query.deadline_ms - now_ms
+            left_ms = self._until_ms - now_ms
             self._stale_until_ms = now_ms + min(VERSION_WAIT_MS, left_ms / 2)
         if state.in_flight or self._find_newer():
             # The other copy may still answer, or the whole query starts again.
@@ -345,7 +333,7 @@
             request_id=self._query.request_id,
             upstream=chosen.name,
             rank=self._query.traffic.rank,
-            remaining_ms=self._query.deadline_ms - now_ms,
+            remaining_ms=self._until_ms - now_ms,
             index=self._snapshot.index,
             version=self._snapshot.version,
             shard=shard,
--- a/packages/gooseberrymux/src/gooseberrymux/queries.py
+++ b/packages/gooseberrymux/src/gooseberrymux/queries.py
@@ -7,18 +7,14 @@
 from gooseberrymux.budgets import Budgets
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
-from gooseberrymux.gather import (
-    Gathered,
-    Gathering,
-    Toolbox,
-    VersionReplaced,
-)
+from gooseberrymux.gather import Gathering, Toolbox
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.latency import Latencies, create_hedge_policy
 from gooseberrymux.records import Answer, Query, Refusal, RunState
 from gooseberrymux.routing import Routing
 from gooseberrymux.selectors import Route, resolve
+from gooseberrymux.shards import Gathered, VersionReplaced
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/shards.py
+++ b/packages/gooseberrymux/src/gooseberrymux/shards.py
@@ -1,4 +1,4 @@
-"""Progress of one shard of a query: attempts, timers, reasons to give up."""
+"""Progress of the shards of a query: attempts, timers, reasons, what was gathered."""
 
 import dataclasses
 
@@ -15,6 +15,8 @@
     REASON_QUEUE_FULL,
     REASON_UNKNOWN_UPSTREAM,
 )
+from gooseberrymux.records import MissingShard
+from gooseberrymux.snapshots import Snapshot
 
 REASON_QUERY_DEADLINE = "deadline"
 REASON_NO_REPLICA = "no_replica"
@@ -78,3 +80,25 @@
         self.rounds = 0
         self.hedged = False
         self.reason = REASON_QUERY_DEADLINE
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Gathered:
+    """What the shards of one version gave.
+
+    Attributes:
+        snapshot: The version.
+        hits: Replies by covered shard.
+        missing: The other shards.
+    """
+
+    snapshot: Snapshot
+    hits: dict[str, list]
+    missing: tuple[MissingShard, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VersionReplaced:
+    """The pinned version went away and a newer one is known."""
+
+    newer: Snapshot
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -369,6 +369,9 @@
 
 def test_a_query_that_reaches_its_deadline_cancels_what_is_out():
     simulation = Simulation(lambda n, sub: [] if sub.shard == "x1" else [(1.0, "ok")])
+    deadline_ms = simulation.clock.now_ms() + 50.0
     found = simulation.run(deadline_in_ms=50.0).unwrap()
     assert [(m.shard, m.reason) for m in found.missing] == [("x1", "deadline")]
+    # An answer that is ready at the deadline is late for its caller.
+    assert simulation.clock.now_ms() < deadline_ms
     assert simulation.count_cancels() == 1
