--- a/packages/gooseberrymux/src/gooseberrymux/gather.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gather.py
@@ -5,6 +5,7 @@
 import heapq
 
 from gooseberrymux import metrics
+from gooseberrymux.admission import Admission
 from gooseberrymux.budgets import Budgets
 from gooseberrymux.calls import Calls, Inbox
 from gooseberrymux.clock import Clock
@@ -25,13 +26,16 @@
     ABANDONED,
     REASON_NO_REPLICA,
     REASON_OTHER_SNAPSHOT,
+    REASONS_LOAD,
     REASONS_STALE,
     REASONS_UNBUDGETED,
     Attempt,
+    Gathered,
     HedgeDue,
     RetryDue,
     ShardState,
     Timer,
+    VersionReplaced,
 )
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
@@ -44,32 +48,18 @@
 # document may still be on its way; both pass within this time or not soon.
 VERSION_WAIT_MS = 500.0
 VERSION_RETRY_LIMIT_MS = 160.0
+# Kept to merge and send the answer: one that is ready only at the deadline is late for
+# the caller.
+ANSWER_MARGIN_MS = 20.0
+ANSWER_MARGIN_SHARE = 0.1
+# Shares of a query's time spent in one queue, and of its shards refused for load, above
+# which its rank is taken for overloaded.
+QUEUED_SHARE = 0.5
+REFUSED_SHARE = 0.1
 # How soon to look again for a hedge delay that was not known yet.
 HEDGE_RECHECK_MS = 25.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Gathered:
-    """What the shards of one version gave.
-
-    Attributes:
-        snapshot: The version.
-        hits: Replies by covered shard.
-        missing: The other shards.
-    """
-
-    snapshot: Snapshot
-    hits: dict[str, list]
-    missing: tuple[MissingShard, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class VersionReplaced:
-    """The pinned version went away and a newer one is known."""
-
-    newer: Snapshot
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Toolbox:
     """What every gathering of this instance works with."""
@@ -80,6 +70,7 @@
     snapshots: Snapshots
     budgets: Budgets
     latencies: Latencies
+    admission: Admission
     clock: Clock
     cancel_losers: bool
 
@@ -101,6 +92,11 @@
         "_timer_count",
         "_counts",
         "_stale_until_ms",
+        "_refused_for_load",
+        "_longest_queued_ms",
+        "_allowed_ms",
+        "_until_ms",
+        "_overloaded",
         "may_have_run",
     )
 
@@ -123,6 +119,13 @@
         self._timer_count = 0
         self._counts: collections.Counter[tuple[str, str]] = collections.Counter()
         self._stale_until_ms: float | None = None
+        self._refused_for_load: set[str] = set()
+        self._longest_queued_ms = 0.0
+        allowed_ms = query.deadline_ms - tools.clock.now_ms()
+        margin_ms = min(ANSWER_MARGIN_MS, ANSWER_MARGIN_SHARE * allowed_ms)
+        self._allowed_ms = allowed_ms - margin_ms
+        self._until_ms = query.deadline_ms - margin_ms
+        self._overloaded = False
         self.may_have_run = False
 
     def run(self) -> Gathered | VersionReplaced:
@@ -133,17 +136,32 @@
             self._abandon(list(self._attempts))
             self._publish_counts()
 
+    def _note_load(self) -> None:
+        """Reports overload as soon as it shows, since queries may last for seconds.
+
+        What counts is what the owners report and not the time it took: a frozen
+        replica makes queries slow as well, and admitting fewer would not help.
+        """
+        if self._overloaded:
+            return
+        refused = len(self._refused_for_load) > REFUSED_SHARE * len(self._shards)
+        if refused or self._longest_queued_ms > QUEUED_SHARE * self._allowed_ms:
+            self._overloaded = True
+            self._tools.admission.note_load(self._query.traffic.rank, overloaded=True)
+
     def _gather(self) -> Gathered | VersionReplaced:
-        clock, deadline_ms = self._tools.clock, self._query.deadline_ms
+        clock, until_ms = self._tools.clock, self._until_ms
         for shard in self._shards:
             self._send(shard, "first")
-        while self._count_open() and clock.now_ms() < deadline_ms:
-            next_ms = self._timers[0][0] if self._timers else deadline_ms
-            for outcome in self._inbox.take(min(next_ms, deadline_ms)):
+        while self._count_open() and clock.now_ms() < until_ms:
+            next_ms = self._timers[0][0] if self._timers else until_ms
+            for outcome in self._inbox.take(min(next_ms, until_ms)):
                 self._handle_outcome(outcome)
             if newer := self._find_newer():
                 return VersionReplaced(newer=newer)
             self._run_timers()
+        if not self._overloaded:
+            self._tools.admission.note_load(self._query.traffic.rank, overloaded=False)
         for shard, state in self._shards.items():
             if shard not in self._hits and shard not in self._missing:
                 self._missing[shard] = state.reason
@@ -186,6 +204,10 @@
         match outcome:
             case SubrequestCompleted(version=version, shard=shard, reply=reply):
                 self.may_have_run = True
+                self._longest_queued_ms = max(
+                    self._longest_queued_ms, outcome.queued_ms
+                )
+                self._note_load()
                 if version != self._snapshot.version or shard != attempt.shard:
                     metrics.dropped_total.inc({"reason": REASON_OTHER_SNAPSHOT})
                     self._fail(attempt, REASON_OTHER_SNAPSHOT)
@@ -195,6 +217,9 @@
                     metrics.dropped_total.inc({"reason": "reply_without_hits"})
                     self._fail(attempt, REASON_MALFORMED)
             case SubrequestNotRun(reason=reason):
+                if reason in REASONS_LOAD:
+                    self._refused_for_load.add(attempt.shard)
+                    self._note_load()
                 self._fail(attempt, reason)
             case SubrequestUnknown(reason=reason):
                 self.may_have_run = True
@@ -219,7 +244,7 @@
         if reason in REASONS_STALE and self._stale_until_ms is None:
             # Half of the time left is kept for a restart.
             now_ms = self._tools.clock.now_ms()
-            left_ms = self._query.deadline_ms - now_ms
+            left_ms = self._until_ms - now_ms
             self._stale_until_ms = now_ms + min(VERSION_WAIT_MS, left_ms / 2)
         if state.in_flight or self._find_newer():
             # The other copy may still answer, or the whole query starts again.
@@ -308,7 +333,7 @@
             request_id=self._query.request_id,
             upstream=chosen.name,
             rank=self._query.traffic.rank,
-            remaining_ms=self._query.deadline_ms - now_ms,
+            remaining_ms=self._until_ms - now_ms,
             index=self._snapshot.index,
             version=self._snapshot.version,
             shard=shard,
--- a/packages/gooseberrymux/src/gooseberrymux/queries.py
+++ b/packages/gooseberrymux/src/gooseberrymux/queries.py
@@ -3,27 +3,31 @@
 from result import Err, Ok, Result
 
 from gooseberrymux import journal
+from gooseberrymux.admission import Admission
 from gooseberrymux.budgets import Budgets
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
-from gooseberrymux.gather import (
-    Gathered,
-    Gathering,
-    Toolbox,
-    VersionReplaced,
-)
+from gooseberrymux.gather import Gathering, Toolbox
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.latency import Latencies, create_hedge_policy
 from gooseberrymux.records import Answer, Query, Refusal, RunState
 from gooseberrymux.routing import Routing
 from gooseberrymux.selectors import Route, resolve
+from gooseberrymux.shards import Gathered, VersionReplaced
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
 
 @service(
     "queries",
-    requires=("calls", "configuration", "snapshots", "inventory", "routing"),
+    requires=(
+        "calls",
+        "configuration",
+        "snapshots",
+        "inventory",
+        "routing",
+        "admission",
+    ),
 )
 class Queries:
     """Runs queries, each in its caller's thread."""
@@ -42,6 +46,7 @@
             snapshots=self._snapshots,
             budgets=Budgets(settings=settings.ranks),
             latencies=Latencies(policy=create_hedge_policy(settings)),
+            admission=kernel.find("admission", Admission),
             clock=kernel.clock,
             cancel_losers=settings.policy.cancel_losers,
         )
--- a/packages/gooseberrymux/src/gooseberrymux/shards.py
+++ b/packages/gooseberrymux/src/gooseberrymux/shards.py
@@ -1,14 +1,22 @@
-"""Progress of one shard of a query: attempts, timers, reasons to give up."""
+"""Progress of the shards of a query: attempts, timers, reasons, what was gathered."""
 
 import dataclasses
 
 from gooseberrymux.calls import REASON_PEER_LOST
 from gooseberrymux.exchange import (
     REASON_CONNECT,
+    REASON_DEADLINE,
+    REASON_SHED,
     REASON_VERSION_GONE,
     REASON_WRONG_SHARD,
 )
-from gooseberrymux.lanes import REASON_LEAVING, REASON_UNKNOWN_UPSTREAM
+from gooseberrymux.lanes import (
+    REASON_LEAVING,
+    REASON_QUEUE_FULL,
+    REASON_UNKNOWN_UPSTREAM,
+)
+from gooseberrymux.records import MissingShard
+from gooseberrymux.snapshots import Snapshot
 
 REASON_QUERY_DEADLINE = "deadline"
 REASON_NO_REPLICA = "no_replica"
@@ -19,6 +27,8 @@
 REASONS_STALE = frozenset(
     {REASON_VERSION_GONE, REASON_WRONG_SHARD, REASON_OTHER_SNAPSHOT}
 )
+# A queue or the upstream was full, or its queue too long for the deadline.
+REASONS_LOAD = frozenset({REASON_QUEUE_FULL, REASON_DEADLINE, REASON_SHED})
 # The sub-request never reached an upstream, or was turned away for its version, so
 # that a retry is no extra load and needs no budget. A lost owner takes many calls
 # with it at once and each fails over only once, so that the budget, which would run
@@ -70,3 +80,25 @@
         self.rounds = 0
         self.hedged = False
         self.reason = REASON_QUERY_DEADLINE
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Gathered:
+    """What the shards of one version gave.
+
+    Attributes:
+        snapshot: The version.
+        hits: Replies by covered shard.
+        missing: The other shards.
+    """
+
+    snapshot: Snapshot
+    hits: dict[str, list]
+    missing: tuple[MissingShard, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VersionReplaced:
+    """The pinned version went away and a newer one is known."""
+
+    newer: Snapshot
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 from result import Err, Ok
 
+from gooseberrymux.admission import Admission
 from gooseberrymux.calls import Calls
 from gooseberrymux.messages import (
     CancelSubrequest,
@@ -340,6 +341,17 @@
     assert fail("connect_failed").run_state is RunState.NOT_RUN
 
 
+@pytest.mark.parametrize(
+    ("kind", "lowered"), [("queue_full", True), ("connect_failed", False)]
+)
+def test_only_load_lowers_the_limit_of_requests(kind, lowered):
+    # Guards against lost replicas that are taken for overload.
+    simulation = Simulation(lambda n, sub: [(1.0, kind)])
+    simulation.run()
+    limit = simulation.kernel.find("admission", Admission).describe()["urgent"]["limit"]
+    assert (limit < 24) == lowered
+
+
 def test_a_shard_without_replicas_is_named():
     simulation = Simulation(lambda n, sub: [(1.0, "ok")], replicas=0)
     found = simulation.run().unwrap()
@@ -357,6 +369,9 @@
 
 def test_a_query_that_reaches_its_deadline_cancels_what_is_out():
     simulation = Simulation(lambda n, sub: [] if sub.shard == "x1" else [(1.0, "ok")])
+    deadline_ms = simulation.clock.now_ms() + 50.0
     found = simulation.run(deadline_in_ms=50.0).unwrap()
     assert [(m.shard, m.reason) for m in found.missing] == [("x1", "deadline")]
+    # An answer that is ready at the deadline is late for its caller.
+    assert simulation.clock.now_ms() < deadline_ms
     assert simulation.count_cancels() == 1
