--- a/packages/gooseberrymux/src/gooseberrymux/commits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/commits.py
@@ -24,6 +24,9 @@
 
 # A pause after a failed platform call, so that an outage is not met by a busy loop.
 RETRY_MS = 50
+# A group gives up after this many failed calls in a row, so that an outage does not
+# hold the callers' threads until their deadlines.
+FAILURE_LIMIT = 3
 WAITING_LIMIT = 4_096
 GROUP_LIMIT = 256
 
@@ -165,12 +168,15 @@
         commands = [ticket.command for ticket in tickets]
         until_ms = max(ticket.until_ms for ticket in tickets)
         base, current = self._known, False
-        while clock.now_ms() < until_ms:
+        failures = 0
+        while clock.now_ms() < until_ms and failures < FAILURE_LIMIT:
             if base is None:
                 base, current = self._read(), True
                 if base is None:
+                    failures += 1
                     clock.sleep_ms(RETRY_MS)
                     continue
+                failures = 0
             merged = merge_commands(
                 base=base.ledger,
                 commands=commands,
@@ -201,6 +207,7 @@
                         step="claims.commit", peer="platform", error=error
                     )
                     base = None
+                    failures += 1
                     clock.sleep_ms(RETRY_MS)
         self._known = None
         return [Unavailable(reason=REASON_PLATFORM)] * len(tickets)
