--- a/packages/gooseberrymux/src/gooseberrymux/attempts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/attempts.py
@@ -31,7 +31,7 @@
     RunState,
     UpstreamRecord,
 )
-from gooseberrymux.routing import choose_replica
+from gooseberrymux.routing import Routing
 from gooseberrymux.selectors import Route
 
 # Unknown attempts whose outcome may still arrive; older ones stay unknown.
@@ -82,12 +82,27 @@
 class Attempts:
     """Dispatches the attempts of this entry that hold their claim."""
 
-    __slots__ = ("_clock", "_calls", "_claims", "_inventory", "_late", "_lock")
+    __slots__ = (
+        "_clock",
+        "_calls",
+        "_claims",
+        "_inventory",
+        "_routing",
+        "_late",
+        "_lock",
+    )
 
     def __init__(
-        self, *, clock: Clock, calls: Calls, claims: Claims, inventory: Inventory
+        self,
+        *,
+        clock: Clock,
+        calls: Calls,
+        claims: Claims,
+        inventory: Inventory,
+        routing: Routing,
     ):
         self._clock = clock
+        self._routing = routing
         self._calls = calls
         self._claims = claims
         self._inventory = inventory
@@ -109,24 +124,16 @@
         order = attempt.order
         tried: dict[str, str] = {}
         while True:
-            replicas = self.list_replicas(attempt)
-            chosen = choose_replica(
-                replicas=replicas,
+            chosen = self._routing.choose(
+                replicas=self.list_replicas(attempt),
                 tried=tried,
-                in_flight=self._calls.in_flight,
                 request_id=order.request_id,
+                cause="order, after not run" if tried else "order",
             )
             if chosen is None:
                 return self._release(
                     attempt, CODE_NO_REPLICA, f"no replica took it: {tried}"
                 )
-            journal.record_decision(
-                "routing.replica",
-                chosen=chosen.name,
-                among=[replica.name for replica in replicas],
-                reason="order, after not run" if tried else "order",
-                request_id=order.request_id,
-            )
             # The last step before the dispatch: this thread may have been frozen
             # since it claimed the key.
             remaining_ms = order.deadline_ms - self._clock.now_ms()
@@ -160,8 +167,10 @@
         self._calls.send(subrequest=subrequest, upstream=chosen, inbox=inbox)
         outcomes = inbox.take(order.deadline_ms)
         if not outcomes:
-            self._calls.forget(subrequest.id)
-            # What arrived between the wait and `forget`.
+            # If it is still queued, the owner hands it back, which comes as a late
+            # outcome and releases the claim. One in flight is not stopped.
+            self._calls.cancel(subrequest.id)
+            # What arrived between the wait and `cancel`.
             outcomes = inbox.take(0.0)
         match outcomes:
             case [SubrequestCompleted() | SubrequestNotRun() as outcome, *_]:
--- a/packages/gooseberrymux/src/gooseberrymux/orders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/orders.py
@@ -44,6 +44,7 @@
     RunState,
     UpstreamRecord,
 )
+from gooseberrymux.routing import Routing
 from gooseberrymux.selectors import Route, resolve
 from gooseberrymux.snapshots import Snapshots
 
@@ -60,7 +61,7 @@
 
 @service(
     "orders",
-    requires=("calls", "claims", "configuration", "snapshots", "inventory"),
+    requires=("calls", "claims", "configuration", "snapshots", "inventory", "routing"),
 )
 class Orders:
     """Runs orders, each in its caller's thread."""
@@ -92,6 +93,7 @@
             calls=self._calls,
             claims=self._claims,
             inventory=self._inventory,
+            routing=kernel.find("routing", Routing),
         )
         self._changed = threading.Condition()
         self._draining = False
--- a/packages/gooseberrymux/src/gooseberrymux/schedule.py
+++ b/packages/gooseberrymux/src/gooseberrymux/schedule.py
@@ -7,6 +7,8 @@
 from gooseberrymux.records import Rank
 from gooseberrymux.settings import Settings
 
+RANKS = tuple(Rank)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Strict:
@@ -22,7 +24,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StrictWithFloors:
-    """Strict, but each rank keeps a floor share of a busy upstream's dispatches."""
+    """Strict, but the lower ranks keep a floor share of a busy upstream's dispatches.
+
+    The floors of ranks without work go to the other lower ranks that wait, because
+    the floor is guaranteed to the lower ranks together.
+    """
 
     floors: dict[Rank, float]
 
@@ -38,7 +44,7 @@
             return Strict()
         case "weighted":
             return Weighted(weights={r: s.weight for r, s in by_rank.items()})
-        case _:
+        case "strict_with_floors":
             return StrictWithFloors(
                 floors={r: s.floor_share for r, s in by_rank.items()}
             )
@@ -50,27 +56,39 @@
     Not thread-safe: the lane that owns it holds its lock around each call.
     """
 
-    __slots__ = ("_policy", "_limits", "_queues", "_credits")
+    __slots__ = ("_policy", "_limits", "_queues", "_credits", "_passes", "_virtual")
 
     def __init__(self, *, policy: Policy, limits: dict[Rank, int]):
         self._policy = policy
         self._limits = limits
         self._queues: dict[Rank, collections.deque] = {
-            rank: collections.deque() for rank in Rank
+            rank: collections.deque() for rank in RANKS
         }
-        self._credits: dict[Rank, float] = dict.fromkeys(Rank, 0.0)
+        # Floors: dispatches owed to a rank.
+        self._credits: dict[Rank, float] = dict.fromkeys(RANKS, 0.0)
+        # Weights: each rank's dispatches divided by its weight, and the rank that is
+        # furthest behind among those with work.
+        self._passes: dict[Rank, float] = dict.fromkeys(RANKS, 0.0)
+        self._virtual = 0.0
+
+    def __len__(self) -> int:
+        return sum(map(len, self._queues.values()))
 
     def put(self, rank: Rank, item: object) -> bool:
         """Queues an item; returns False if the rank's queue is full."""
         queue = self._queues[rank]
         if len(queue) >= self._limits[rank]:
             return False
+        if not queue:
+            # A rank that was idle brings nothing along that it did not use.
+            self._credits[rank] = 0.0
+            self._passes[rank] = max(self._passes[rank], self._virtual)
         queue.append(item)
         return True
 
     def take(self) -> object | None:
         """Removes and returns the next item, or None if all queues are empty."""
-        waiting = [rank for rank in Rank if self._queues[rank]]
+        waiting = [rank for rank in RANKS if self._queues[rank]]
         if not waiting:
             return None
         rank = self._choose(waiting)
@@ -86,10 +104,36 @@
             self._queues[rank] = kept
         return removed
 
-    def count_ahead(self, rank: Rank) -> int:
-        """Returns how many queued items go before a new item of `rank`."""
-        ranks = list(Rank)
-        return sum(len(self._queues[other]) for other in ranks[: ranks.index(rank) + 1])
+    def count_ahead(self, rank: Rank) -> float:
+        """Estimates how many dispatches go before a new item of `rank`.
+
+        Later arrivals are left out, so that work is refused early only if what is
+        queued already makes it late.
+        """
+        lengths = self.count_by_rank()
+        own = lengths[rank]
+        above, below = split_ranks(rank)
+        match self._policy:
+            case Strict():
+                return own + sum(lengths[other] for other in above)
+            case Weighted(weights=weights):
+                per_own = (own + 1) / weights[rank]
+                return own + sum(
+                    min(lengths[other], per_own * weights[other])
+                    for other in (*above, *below)
+                )
+            case StrictWithFloors(floors=floors):
+                busy = [r for r in RANKS if r is rank or lengths[r]]
+                shares = share_floors(floors, busy)
+                ahead = float(sum(lengths[other] for other in above))
+                if 0 < shares[rank] < 1:
+                    ahead = min(ahead, (own + 1) * (1 / shares[rank] - 1))
+                ahead += own
+                floor = min(0.9, sum(shares[other] for other in below))
+                return ahead + sum(
+                    min(lengths[other], ahead * shares[other] / (1 - floor))
+                    for other in below
+                )
 
     def count_by_rank(self) -> dict[Rank, int]:
         """Returns the number of queued items of each rank."""
@@ -100,24 +144,24 @@
             case Strict():
                 return waiting[0]
             case Weighted(weights=weights):
-                return self._choose_by_credit(waiting, weights)
+                return self._choose_by_weight(waiting, weights)
             case StrictWithFloors(floors=floors):
                 return self._choose_with_floors(waiting, floors)
 
-    def _choose_by_credit(self, waiting: list[Rank], weights: dict) -> Rank:
-        # Smooth weighted round robin over the ranks that wait.
-        for rank in waiting:
-            self._credits[rank] += weights[rank]
-        chosen = max(waiting, key=lambda rank: self._credits[rank])
-        self._credits[chosen] -= sum(weights[rank] for rank in waiting)
+    def _choose_by_weight(self, waiting: list[Rank], weights: dict) -> Rank:
+        # Weighted fair queueing of items of equal size: the rank whose next dispatch
+        # would end first goes next, so that one that was idle waits for its share.
+        chosen = min(waiting, key=lambda r: self._passes[r] + 1.0 / weights[r])
+        self._virtual = self._passes[chosen]
+        self._passes[chosen] += 1.0 / weights[chosen]
         return chosen
 
     def _choose_with_floors(self, waiting: list[Rank], floors: dict) -> Rank:
-        for rank in Rank:
-            if rank not in waiting:
-                self._credits[rank] = 0.0
+        if len(waiting) == 1:
+            return waiting[0]
+        shares = share_floors(floors, waiting)
         for rank in waiting:
-            self._credits[rank] += floors[rank]
+            self._credits[rank] += shares[rank]
         due = [rank for rank in waiting if self._credits[rank] >= 1.0]
         chosen = due[0] if due else waiting[0]
         # Only a floor's own credit is spent, so that strict dispatches of a rank
@@ -125,3 +169,18 @@
         if self._credits[chosen] >= 1.0:
             self._credits[chosen] -= 1.0
         return chosen
+
+
+def share_floors(floors: dict[Rank, float], waiting: list[Rank]) -> dict[Rank, float]:
+    """Returns the floors of the ranks that wait, with those of idle ranks passed on."""
+    entitled = sum(floors[rank] for rank in waiting)
+    if entitled <= 0:
+        return dict.fromkeys(RANKS, 0.0)
+    factor = sum(floors.values()) / entitled
+    return {rank: floors[rank] * factor if rank in waiting else 0.0 for rank in RANKS}
+
+
+def split_ranks(rank: Rank) -> tuple[tuple[Rank, ...], tuple[Rank, ...]]:
+    """Returns the ranks above and below a rank."""
+    place = RANKS.index(rank)
+    return RANKS[:place], RANKS[place + 1 :]
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -45,6 +45,7 @@
     Traffic,
     UpstreamRecord,
 )
+from gooseberrymux.routing import Routing
 from gooseberrymux.settings import parse_settings
 from gooseberrymux.snapshots import Snapshot, Snapshots
 
@@ -109,7 +110,7 @@
         self._thread = threading.Thread(target=self._run, args=(target,), daemon=True)
         self._thread.actor = self
         self._thread.start()
-        assert self._parked.acquire(timeout=STEP_TIMEOUT_S)
+        self._wait_parked()
 
     def _run(self, target):
         try:
@@ -132,6 +133,9 @@
     def step(self, choice):
         self._choice = choice
         self._resumed.release()
+        self._wait_parked()
+
+    def _wait_parked(self):
         assert self._parked.acquire(timeout=STEP_TIMEOUT_S)
         if self.failure:
             raise self.failure
@@ -204,12 +208,11 @@
     def __init__(self, *, world, instance):
         self._world = world
         self._instance = instance
-        self._in_flight = {}
 
     def create_id(self, kind):
         return self._world.create_id(kind)
 
-    def forget(self, subrequest_id):
+    def cancel(self, subrequest_id):
         pass
 
     def send(self, *, subrequest, upstream, inbox):
@@ -257,13 +260,11 @@
 
 class FixedInventory(Inventory):
     def __init__(self):
-        pass
-
-    def list_upstreams(self):
-        return tuple(
+        records = [
             UpstreamRecord(name=name, host="", port=0, service="a", failure_domain="d")
             for name in ("u1", "u2")
-        )
+        ]
+        self._by_service = {"a": records}
 
 
 class InlineKernel(Kernel):
@@ -308,6 +309,7 @@
             ("inventory", FixedInventory()),
         ):
             self.kernel.add(service_name, fake)
+        self.kernel.add("routing", Routing(kernel=self.kernel))
         self.claims = Claims(kernel=self.kernel)
         self.kernel.add("claims", self.claims)
         self.orders = Orders(kernel=self.kernel)
