--- a/packages/gooseberrymux/src/gooseberrymux/attempts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/attempts.py
@@ -167,8 +167,10 @@
         self._calls.send(subrequest=subrequest, upstream=chosen, inbox=inbox)
         outcomes = inbox.take(order.deadline_ms)
         if not outcomes:
-            self._calls.forget(subrequest.id)
-            # What arrived between the wait and `forget`.
+            # If it is still queued, the owner hands it back, which comes as a late
+            # outcome and releases the claim. One in flight is not stopped.
+            self._calls.cancel(subrequest.id)
+            # What arrived between the wait and `cancel`.
             outcomes = inbox.take(0.0)
         match outcomes:
             case [SubrequestCompleted() | SubrequestNotRun() as outcome, *_]:
--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -59,6 +59,13 @@
 )
 
 
+def create_key(number):
+    return f"{WALL_MS >> 16:08x}-{WALL_MS & 0xFFFF:04x}-7000-8000-{number:012x}"
+
+
+KEYS = tuple(create_key(number) for number in range(2))
+
+
 def fail(step):
     return PlatformError(step=step, message="no answer", run_state=RunState.UNKNOWN)
 
@@ -103,7 +110,7 @@
         self._thread = threading.Thread(target=self._run, args=(target,), daemon=True)
         self._thread.actor = self
         self._thread.start()
-        assert self._parked.acquire(timeout=STEP_TIMEOUT_S)
+        self._wait_parked()
 
     def _run(self, target):
         try:
@@ -126,6 +133,9 @@
     def step(self, choice):
         self._choice = choice
         self._resumed.release()
+        self._wait_parked()
+
+    def _wait_parked(self):
         assert self._parked.acquire(timeout=STEP_TIMEOUT_S)
         if self.failure:
             raise self.failure
@@ -202,7 +212,7 @@
     def create_id(self, kind):
         return self._world.create_id(kind)
 
-    def forget(self, subrequest_id):
+    def cancel(self, subrequest_id):
         pass
 
     def send(self, *, subrequest, upstream, inbox):
@@ -250,13 +260,11 @@
 
 class FixedInventory(Inventory):
     def __init__(self):
-        pass
-
-    def list_upstreams(self):
-        return tuple(
+        records = [
             UpstreamRecord(name=name, host="", port=0, service="a", failure_domain="d")
             for name in ("u1", "u2")
-        )
+        ]
+        self._by_service = {"a": records}
 
 
 class InlineKernel(Kernel):
