Check the ranges of settings and values that contradict each other

Cause: a negative timeout, a share above 1, an unknown claim_commit or fewer threads than admitted requests were accepted and showed only under load.

--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -1,10 +1,11 @@
 """Settings of one instance: typed, read from YAML, checked on load."""
 
 import dataclasses
+import ipaddress
 import json
 from importlib import resources
 from pathlib import Path
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 import yaml
@@ -15,6 +16,24 @@
 STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
 
 
+def check_host(host: str) -> str:
+    """Returns the host if it is an IP number.
+
+    Raises:
+        ValueError: It is not; names are refused, since resolving one can block.
+    """
+    return str(ipaddress.ip_address(host))
+
+
+Name = Annotated[str, pydantic.Field(min_length=1, max_length=128)]
+Host = Annotated[str, pydantic.AfterValidator(check_host)]
+Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
+Count = Annotated[int, pydantic.Field(ge=1)]
+DurationMs = Annotated[int, pydantic.Field(ge=1)]
+Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+Quantile = Annotated[float, pydantic.Field(gt=0, lt=1)]
+
+
 class SettingsError(UserError):
     """The settings file is missing, is not YAML, or holds a wrong value."""
 
@@ -25,8 +44,8 @@
 
     __pydantic_config__ = STRICT
 
-    host: str = "127.0.0.1"
-    port: int = dataclasses.field(default=0)
+    host: Host = "127.0.0.1"
+    port: Port = 0
 
     def __str__(self) -> str:
         """Returns `host:port`."""
@@ -39,9 +58,9 @@
 
     __pydantic_config__ = STRICT
 
-    name: str
-    failure_domain: str
-    region: str = "default"
+    name: Name
+    failure_domain: Name
+    region: Name = "default"
     callers: Address
     administration: Address
     peers: Address
@@ -54,10 +73,10 @@
     __pydantic_config__ = STRICT
 
     url: str
-    timeout_ms: int = 1_000
-    calls_in_flight: int = 16
-    watchers: int = 2
-    watch_timeout_ms: int = 10_000
+    timeout_ms: DurationMs = 1_000
+    calls_in_flight: Count = 16
+    watchers: Count = 2
+    watch_timeout_ms: DurationMs = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,13 +98,13 @@
 
     __pydantic_config__ = STRICT
 
-    deadline_ms: int
-    request_limit: int
-    queue_limit: int
-    weight: int
-    floor_share: float
-    retry_share: float
-    hedge_share: float
+    deadline_ms: DurationMs
+    request_limit: Count
+    queue_limit: Count
+    weight: Count
+    floor_share: Share
+    retry_share: Share
+    hedge_share: Share
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -97,12 +116,12 @@
     dispatch: Literal["owner", "direct"] = "owner"
     schedule: Literal["strict", "weighted", "strict_with_floors"] = "strict_with_floors"
     hedge: bool = True
-    hedge_quantile: float = 0.95
-    hedge_floor_ms: float = 10.0
+    hedge_quantile: Quantile = 0.95
+    hedge_floor_ms: Annotated[float, pydantic.Field(ge=0)] = 10.0
     cancel_losers: bool = True
     early_refusal: bool = True
     peer_reset: bool = True
-    claim_commit: str = "grouped"
+    claim_commit: Literal["grouped", "single"] = "grouped"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -122,10 +141,10 @@
 
     __pydantic_config__ = STRICT
 
-    probe_period_ms: int = 300
-    probe_timeout_ms: int = 250
-    suspect_ms: int = 700
-    exchange_period_ms: int = 1_000
+    probe_period_ms: DurationMs = 300
+    probe_timeout_ms: DurationMs = 250
+    suspect_ms: DurationMs = 700
+    exchange_period_ms: DurationMs = 1_000
     seeds: list[Address] = dataclasses.field(default_factory=list)
 
 
@@ -135,10 +154,10 @@
 
     __pydantic_config__ = STRICT
 
-    ranges: int = 64
-    retention_ms: int = 86_400_000
-    key_margin_ms: int = 3_600_000
-    commit_timeout_ms: int = 2_000
+    ranges: Count = 64
+    retention_ms: DurationMs = 86_400_000
+    key_margin_ms: DurationMs = 3_600_000
+    commit_timeout_ms: DurationMs = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -182,7 +201,7 @@
     merged = merge_mappings(defaults, given)
     try:
         # Strict checks accept mappings for data classes only from JSON.
-        return pydantic.TypeAdapter(Settings).validate_json(
+        settings = pydantic.TypeAdapter(Settings).validate_json(
             json.dumps(merged, default=str)
         )
     except pydantic.ValidationError as error:
@@ -191,6 +210,33 @@
             peer=source,
             message="\n".join(describe_problems(error)),
         ) from error
+    if problems := find_contradictions(settings):
+        raise SettingsError(
+            step="settings.check", peer=source, message="\n".join(problems)
+        )
+    return settings
+
+
+def find_contradictions(settings: Settings) -> list[str]:
+    """Returns one line for each pair of values that don't go together."""
+    ranks = (settings.ranks.urgent, settings.ranks.standard, settings.ranks.patient)
+    requests = sum(rank.request_limit for rank in ranks)
+    floors = sum(rank.floor_share for rank in ranks)
+    problems = []
+    if settings.api.threads <= requests:
+        # A flood of one rank could otherwise take the threads that read urgent work.
+        problems.append(
+            f"api.threads: {settings.api.threads}: expected more than {requests}, "
+            "the sum of ranks.*.request_limit"
+        )
+    if floors > 1:
+        problems.append(f"ranks.*.floor_share: {floors:g} together: expected at most 1")
+    if settings.orders.key_margin_ms >= settings.orders.retention_ms:
+        problems.append(
+            f"orders.key_margin_ms: {settings.orders.key_margin_ms}: expected less "
+            f"than orders.retention_ms, {settings.orders.retention_ms}"
+        )
+    return problems
 
 
 def parse_yaml(text: str, *, source: str) -> dict:
