--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -35,7 +35,7 @@
     def stop(self) -> None:
         """Closes the listener."""
         if self._server:
-            self._server.stop()
+            web.stop_server(self._server)
 
     def handle(self, request: Request) -> Response:
         """Answers one request."""
--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -1,6 +1,7 @@
 """Caller API over HTTP and JSON: query, health, metrics."""
 
 import dataclasses
+import threading
 
 import cheroot.wsgi
 import pydantic
@@ -9,7 +10,7 @@
 from gooseberrymux import metrics, web
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
-from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.queries import Queries
 from gooseberrymux.records import Answer, Query, Rank, Refusal, Traffic
 from gooseberrymux.snapshots import Snapshots
@@ -43,7 +44,10 @@
         "_configuration",
         "_snapshots",
         "_server",
-        "_draining",
+        "_leaving",
+        "_refusing",
+        "_in_progress",
+        "_lock",
     )
 
     def __init__(self, *, kernel: Kernel):
@@ -53,7 +57,11 @@
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
         self._server: cheroot.wsgi.Server | None = None
-        self._draining = False
+        self._leaving = False
+        self._refusing = False
+        self._in_progress = 0
+        self._lock = threading.Lock()
+        kernel.subscribe(LeaveStarted, self._handle_leave)
 
     def start(self) -> None:
         """Opens the listener."""
@@ -67,16 +75,52 @@
         self._kernel.spawn(name="api.server", target=self._server.serve)
 
     def drain(self, deadline_ms: float) -> None:
-        """Says leaving in the health answer and refuses new requests."""
-        self._draining = True
+        """Lets the balancer notice, then refuses new work and finishes the old."""
+        clock = self._kernel.clock
+        settled_ms = clock.now_ms() + self._kernel.settings.api.settle_ms
+        self._kernel.wait_until(lambda: False, min(settled_ms, deadline_ms))
+        with self._lock:
+            self._refusing = True
+        self._kernel.wait_until(lambda: self._in_progress == 0, deadline_ms)
 
     def stop(self) -> None:
-        """Finishes the requests in flight and closes the listener."""
+        """Writes the last answers and closes the listener."""
         if self._server:
-            self._server.stop()
+            web.stop_server(self._server)
+
+    def _handle_leave(self, event: LeaveStarted) -> None:
+        self._leaving = True
 
     def handle(self, request: Request) -> Response:
         """Answers one request."""
+        response = self._admit(request) if request.method == "POST" else None
+        if response is None:
+            response = self._route(request)
+        if self._leaving:
+            # Callers' pools then open their next connection elsewhere.
+            headers = {**response.headers, "Connection": "close"}
+            response = dataclasses.replace(response, headers=headers)
+        return response
+
+    def _admit(self, request: Request) -> Response:
+        with self._lock:
+            if self._refusing:
+                return web.create_error(
+                    status=503,
+                    code="instance_leaving",
+                    message="this instance is stopping; ask another one",
+                    run_state="not_run",
+                )
+            self._in_progress += 1
+        try:
+            return self._route(request)
+        finally:
+            with self._lock:
+                self._in_progress -= 1
+            if self._refusing:
+                self._kernel.wake()
+
+    def _route(self, request: Request) -> Response:
         match (request.method, request.path):
             case ("POST", "/v1/query"):
                 return self._handle_query(request)
@@ -132,7 +176,7 @@
         state = "ready"
         if self._kernel.failure:
             state = "failed"
-        elif self._draining:
+        elif self._leaving:
             state = "leaving"
         elif (
             self._configuration.get_current() is None
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -5,9 +5,14 @@
 from collections.abc import Callable
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.departures import (
+    SOURCE_UPSTREAM,
+    Departures,
+    UpstreamLeaving,
+)
 from gooseberrymux.exchange import Exchange
 from gooseberrymux.inventory import Inventory
-from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.messages import (
     CancelSubrequest,
     Subrequest,
@@ -23,6 +28,9 @@
 REASON_DEADLINE = "deadline_unreachable"
 REASON_CANCELLED = "cancelled"
 REASON_LEAVING = "instance_leaving"
+REASON_UPSTREAM_LEAVING = "upstream_leaving"
+# What an upstream that drains gives as its reason.
+REASON_DRAINING = "draining"
 REASON_UNKNOWN_UPSTREAM = "unknown_upstream"
 
 Reply = Callable[[SubrequestOutcome], None]
@@ -30,21 +38,41 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class QueuedItem:
-    """A queued sub-request and where its outcome goes."""
+    """A queued sub-request and where its outcome goes.
+
+    Attributes:
+        subrequest: What to run.
+        reply: Gets the outcome.
+        queued_at_ms: Monotonic time in milliseconds.
+        deadline_ms: Monotonic time in milliseconds.
+        remote: Whether another instance is its entry.
+    """
 
     subrequest: Subrequest
     reply: Reply
     queued_at_ms: float
     deadline_ms: float
+    remote: bool = False
 
 
 class Lane:
     """The queue and the connection threads of one upstream."""
 
-    __slots__ = ("record", "_kernel", "_queue", "_changed", "_closed", "_running")
+    __slots__ = (
+        "record",
+        "_kernel",
+        "_departures",
+        "_queue",
+        "_changed",
+        "_closed",
+        "_running",
+    )
 
-    def __init__(self, *, kernel: Kernel, record: UpstreamRecord):
+    def __init__(
+        self, *, kernel: Kernel, record: UpstreamRecord, departures: Departures
+    ):
         self.record = record
+        self._departures = departures
         self._kernel = kernel
         limits = {
             rank: getattr(kernel.settings.ranks, rank.value).queue_limit
@@ -77,6 +105,11 @@
         with self._changed:
             return self._queue.remove(lambda item: item.subrequest.id == subrequest_id)
 
+    def take_back(self, *, remote_only: bool) -> list[QueuedItem]:
+        """Removes what is queued, for all entries or only for others than this."""
+        with self._changed:
+            return self._queue.remove(lambda item: item.remote or not remote_only)
+
     def close(self) -> list[QueuedItem]:
         """Ends the threads after the running exchanges; returns what was queued."""
         with self._changed:
@@ -85,9 +118,10 @@
             return self._queue.remove(lambda item: True)
 
     @property
-    def running(self) -> int:
-        """Exchanges in flight."""
-        return self._running
+    def pending(self) -> int:
+        """Exchanges in flight and queued."""
+        with self._changed:
+            return self._running + sum(self._queue.count_by_rank().values())
 
     def count_by_rank(self) -> dict[Rank, int]:
         """Returns the number of queued items of each rank."""
@@ -97,10 +131,12 @@
     def _serve(self) -> None:
         exchange = Exchange(record=self.record, clock=self._kernel.clock)
         while (item := self._take()) is not None:
-            outcome = self._run(exchange, item)
+            item.reply(self._run(exchange, item))
+            # Only now: a drain waits for this, and must not miss the outcome.
             with self._changed:
                 self._running -= 1
-            item.reply(outcome)
+            if self._kernel.is_draining:
+                self._kernel.wake()
         exchange.close()
 
     def _take(self) -> QueuedItem | None:
@@ -118,63 +154,90 @@
         now_ms = self._kernel.clock.now_ms()
         if now_ms >= item.deadline_ms:
             return refuse(item.subrequest, REASON_DEADLINE, self.record.name)
+        if self._departures.is_leaving(self.record.name, self.record.epoch):
+            return refuse(item.subrequest, REASON_UPSTREAM_LEAVING, self.record.name)
         outcome = exchange.run(item.subrequest, item.deadline_ms)
+        match outcome:
+            case SubrequestNotRun(reason=reason) if reason == REASON_DRAINING:
+                self._departures.note(
+                    upstream=self.record.name,
+                    epoch=self.record.epoch,
+                    source=SOURCE_UPSTREAM,
+                )
         if isinstance(outcome, SubrequestCompleted):
             return dataclasses.replace(outcome, queued_ms=now_ms - item.queued_at_ms)
         return outcome
 
 
-@service("dispatch", requires=("peers", "inventory"))
+@service("dispatch", requires=("peers", "inventory", "departures"))
 class Dispatch:
     """The lanes of the upstreams that this instance serves."""
 
-    __slots__ = ("_kernel", "_peers", "_inventory", "_lanes", "_lock", "_draining")
+    __slots__ = (
+        "_kernel",
+        "_peers",
+        "_inventory",
+        "_departures",
+        "_lanes",
+        "_lock",
+        "_leaving",
+    )
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._peers = kernel.find("peers", Peers)
         self._inventory = kernel.find("inventory", Inventory)
+        self._departures = kernel.find("departures", Departures)
         self._lanes: dict[str, Lane] = {}
         self._lock = threading.Lock()
-        self._draining = False
+        self._leaving = False
         self._peers.register(Subrequest, self._handle_subrequest)
         self._peers.register(CancelSubrequest, self._handle_cancel)
+        kernel.subscribe(LeaveStarted, self._handle_leave)
+        kernel.subscribe(UpstreamLeaving, self._handle_upstream_leaving)
 
     def start(self) -> None:
         """Nothing to start: lanes open with their first sub-request."""
 
     def drain(self, deadline_ms: float) -> None:
-        """Hands queued sub-requests back as not run."""
-        self._draining = True
-        for lane in list(self._lanes.values()):
-            for item in lane.close():
-                item.reply(refuse(item.subrequest, REASON_LEAVING, lane.record.name))
+        """Finishes the exchanges in flight and what this entry still has queued."""
+        lanes = list(self._lanes.values())
+        self._kernel.wait_until(
+            lambda: all(lane.pending == 0 for lane in lanes), deadline_ms
+        )
 
     def stop(self) -> None:
         """Ends all lanes."""
         for lane in list(self._lanes.values()):
             lane.close()
 
-    def submit(self, subrequest: Subrequest, reply: Reply) -> None:
+    def submit(
+        self, subrequest: Subrequest, reply: Reply, *, remote: bool = False
+    ) -> None:
         """Queues a sub-request for its upstream.
 
         Args:
             subrequest: What to run.
             reply: Called once with the outcome, from any thread; must not block.
+            remote: Whether another instance is its entry.
         """
         record = self._inventory.describe(subrequest.upstream)
         if record is None:
             reply(refuse(subrequest, REASON_UNKNOWN_UPSTREAM, subrequest.upstream))
             return
-        if self._draining:
+        if self._leaving and remote:
             reply(refuse(subrequest, REASON_LEAVING, subrequest.upstream))
             return
+        if self._inventory.is_leaving(record):
+            reply(refuse(subrequest, REASON_UPSTREAM_LEAVING, subrequest.upstream))
+            return
         now_ms = self._kernel.clock.now_ms()
         item = QueuedItem(
             subrequest=subrequest,
             reply=reply,
             queued_at_ms=now_ms,
             deadline_ms=now_ms + subrequest.remaining_ms,
+            remote=remote,
         )
         if not self._open_lane(record).put(item):
             reply(refuse(subrequest, REASON_QUEUE_FULL, subrequest.upstream))
@@ -185,11 +248,28 @@
             for item in lane.cancel(subrequest_id):
                 item.reply(refuse(item.subrequest, REASON_CANCELLED, lane.record.name))
 
+    def _handle_leave(self, event: LeaveStarted) -> None:
+        # The entries learned from membership that this instance is leaving before
+        # they get these back, so they go to the next owner.
+        self._leaving = True
+        for lane in list(self._lanes.values()):
+            for item in lane.take_back(remote_only=True):
+                item.reply(refuse(item.subrequest, REASON_LEAVING, lane.record.name))
+
+    def _handle_upstream_leaving(self, event: UpstreamLeaving) -> None:
+        lane = self._lanes.get(event.upstream)
+        if lane is None or not self._inventory.is_leaving(lane.record):
+            return
+        for item in lane.take_back(remote_only=False):
+            item.reply(refuse(item.subrequest, REASON_UPSTREAM_LEAVING, event.upstream))
+
     def _open_lane(self, record: UpstreamRecord) -> Lane:
         with self._lock:
             lane = self._lanes.get(record.name)
             if lane is None:
-                lane = Lane(kernel=self._kernel, record=record)
+                lane = Lane(
+                    kernel=self._kernel, record=record, departures=self._departures
+                )
                 self._lanes[record.name] = lane
                 lane.start()
                 journal.record_event("dispatch.lane_opened", upstream=record.name)
@@ -202,7 +282,7 @@
             else:
                 metrics.dropped_total.inc({"reason": "requester_restarted"})
 
-        self.submit(message, send_outcome)
+        self.submit(message, send_outcome, remote=True)
 
     def _handle_cancel(
         self, sender: InstanceIdentity, message: CancelSubrequest
--- a/packages/gooseberrymux/src/gooseberrymux/inventory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -6,6 +6,7 @@
 
 from gooseberrymux import journal
 from gooseberrymux.configuration import Group
+from gooseberrymux.departures import Departures
 from gooseberrymux.documents import DocumentChanged, Documents
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import Membership
@@ -17,15 +18,16 @@
 _instances = pydantic.TypeAdapter(list[InstanceRecord])
 
 
-@service("inventory", requires=("documents", "membership"))
+@service("inventory", requires=("documents", "membership", "departures"))
 class Inventory:
     """Holds the record of each upstream."""
 
-    __slots__ = ("_membership", "_upstreams", "_lock", "last_problem")
+    __slots__ = ("_membership", "_departures", "_upstreams", "_lock", "last_problem")
 
     def __init__(self, *, kernel: Kernel):
         kernel.find("documents", Documents)
         self._membership = kernel.find("membership", Membership)
+        self._departures = kernel.find("departures", Departures)
         self._upstreams: dict[str, UpstreamRecord] = {}
         self._lock = threading.Lock()
         self.last_problem: str | None = None
@@ -49,6 +51,12 @@
         with self._lock:
             return tuple(self._upstreams.values())
 
+    def is_leaving(self, record: UpstreamRecord) -> bool:
+        """Returns whether an upstream gets no new work, whoever said so."""
+        return record.state is UpstreamState.LEAVING or self._departures.is_leaving(
+            record.name, record.epoch
+        )
+
     def list_replicas(
         self, *, groups: tuple[Group, ...], service_name: str
     ) -> tuple[UpstreamRecord, ...]:
@@ -57,7 +65,7 @@
             record
             for record in self.list_upstreams()
             if record.service == service_name
-            and record.state is UpstreamState.LIVE
+            and not self.is_leaving(record)
             and any(group.match.items() <= record.labels.items() for group in groups)
         )
 
@@ -74,5 +82,13 @@
             return
         with self._lock:
             self._upstreams = {record.name: record for record in upstreams}
+        self._departures.update_list(
+            {record.name: record.epoch for record in upstreams},
+            {
+                record.name: record.epoch
+                for record in upstreams
+                if record.state is UpstreamState.LEAVING
+            },
+        )
         for record in instances:
             self._membership.learn(record)
--- a/packages/gooseberrymux/src/gooseberrymux/kernel.py
+++ b/packages/gooseberrymux/src/gooseberrymux/kernel.py
@@ -4,6 +4,7 @@
 none of them itself.
 """
 
+import dataclasses
 import importlib
 import threading
 from collections.abc import Callable
@@ -14,7 +15,8 @@
 from gooseberrymux.errors import MuxError
 from gooseberrymux.settings import Settings
 
-JOIN_TIMEOUT_MS = 500
+# Threads inside a call to the platform hold no request and end with the process.
+JOIN_TIMEOUT_MS = 200
 
 T = TypeVar("T")
 
@@ -23,6 +25,13 @@
     """A service is missing, of the wrong type, or requires itself."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LeaveStarted:
+    """This instance begins a planned stop; published before anything drains."""
+
+    reason: str
+
+
 class Service(Protocol):
     """What the kernel calls on each service."""
 
@@ -71,7 +80,9 @@
         "_threads",
         "_lock",
         "_failure",
-        "_failed",
+        "_changed",
+        "_stop_requests",
+        "is_draining",
     )
 
     def __init__(self, *, settings: Settings, clock: Clock):
@@ -83,7 +94,9 @@
         self._threads: list[threading.Thread] = []
         self._lock = threading.Lock()
         self._failure: str | None = None
-        self._failed = threading.Condition(self._lock)
+        self._changed = threading.Condition(self._lock)
+        self._stop_requests = 0
+        self.is_draining = False
 
     def load(self, names: tuple[str, ...]) -> None:
         """Imports and builds services, and what they require, by name.
@@ -144,15 +157,21 @@
             self._services[name].start()
             journal.record_event("kernel.started", service=name)
 
-    def drain(self, deadline_ms: float) -> None:
-        """Drains all services in reverse order, so that entries drain before links.
+    def drain(self, deadline_ms: float) -> bool:
+        """Announces the stop, then drains all services in reverse order.
 
         Args:
             deadline_ms: Monotonic time in milliseconds by which to give up.
+
+        Returns:
+            False if the deadline or a second stop request cut the drain short.
         """
+        self.is_draining = True
+        self.publish(LeaveStarted(reason="planned stop"))
         for name in reversed(self._order):
             self._services[name].drain(deadline_ms)
             journal.record_event("kernel.drained", service=name)
+        return self._stop_requests < 2 and self.clock.now_ms() < deadline_ms
 
     def stop(self) -> None:
         """Stops all services in reverse order and joins their threads."""
@@ -160,9 +179,34 @@
             self._services[name].stop()
         until_ms = self.clock.now_ms() + JOIN_TIMEOUT_MS
         for thread in self._threads:
-            # A thread inside a call to the platform may outlive this; it holds no
-            # request and ends with the process.
             thread.join(max(0.0, until_ms - self.clock.now_ms()) / 1000)
+        left = [thread.name for thread in self._threads if thread.is_alive()]
+        journal.record_event("kernel.stopped", threads_left=left)
+
+    def request_stop(self) -> None:
+        """Asks for a planned stop; a second call cuts the drain short."""
+        with self._changed:
+            self._stop_requests += 1
+            self._changed.notify_all()
+
+    def wait_until(self, is_done: Callable[[], bool], deadline_ms: float) -> bool:
+        """Waits within a drain until a service is done.
+
+        Args:
+            is_done: Read under the kernel's lock; must not block. Whoever changes
+                its answer calls `wake`.
+            deadline_ms: Monotonic time in milliseconds by which to give up.
+
+        Returns:
+            Whether it is done; False at the deadline or a second stop request.
+        """
+        with self._changed:
+            while not is_done():
+                left_ms = deadline_ms - self.clock.now_ms()
+                if left_ms <= 0 or self._stop_requests > 1:
+                    return False
+                self.clock.wait(self._changed, left_ms)
+            return True
 
     def spawn(self, *, name: str, target: Callable[[], None]) -> threading.Thread:
         """Starts a supervised thread.
@@ -215,22 +259,22 @@
         """Why the instance is failed, or None."""
         return self._failure
 
-    def wait_for_failure(self, timeout_ms: float | None) -> str | None:
-        """Waits until a thread or handler fails; returns the reason or None."""
-        with self._failed:
-            if self._failure is None:
-                self.clock.wait(self._failed, timeout_ms)
+    def wait_for_end(self) -> str | None:
+        """Waits for a stop request or a failure; returns the failure or None."""
+        with self._changed:
+            while not self._stop_requests and self._failure is None:
+                self.clock.wait(self._changed, None)
             return self._failure
 
     def wake(self) -> None:
-        """Wakes `wait_for_failure`, for example when a stop signal arrived."""
-        with self._failed:
-            self._failed.notify_all()
+        """Lets `wait_until` look again."""
+        with self._changed:
+            self._changed.notify_all()
 
     def _mark_failed(self, reason: str) -> None:
-        with self._failed:
+        with self._changed:
             self._failure = self._failure or reason
-            self._failed.notify_all()
+            self._changed.notify_all()
 
 
 def find_factory(name: str) -> type:
--- a/packages/gooseberrymux/src/gooseberrymux/main.py
+++ b/packages/gooseberrymux/src/gooseberrymux/main.py
@@ -1,6 +1,8 @@
 """Command line of one entry instance: `run` and `check`."""
 
+import os
 import signal
+import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -15,6 +17,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 app = typer.Typer(help="One entry instance of gooseberrymux.", no_args_is_help=True)
 SettingsOption = Annotated[
@@ -48,28 +51,40 @@
 
 
 def run_instance(settings: Settings) -> str | None:
-    """Runs an instance until a signal or a failure; returns the failure or None."""
+    """Runs an instance until a signal or a failure.
+
+    Returns:
+        The failure or what cut the drain short; None after a graceful stop.
+    """
     clock = Clock()
     kernel = Kernel(settings=settings, clock=clock)
-    stopping = []
-
-    def request_stop(number: int, frame: object) -> None:
-        stopping.append(number)
-
-    signal.signal(signal.SIGTERM, request_stop)
-    signal.signal(signal.SIGINT, request_stop)
+    # Threads inherit the mask, so that only the waiting thread takes the signals and
+    # none interrupts code that holds a lock.
+    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
+    kernel.spawn(name="main.signals", target=lambda: forward_signals(kernel))
     kernel.load(tuple(settings.services))
     kernel.start()
     journal.record_event("instance.started", name=settings.instance.name)
-    while not stopping and kernel.failure is None:
-        # A signal handler runs only between the main thread's waits.
-        kernel.wait_for_failure(500)
-    journal.record_event("instance.stopping", failure=kernel.failure)
-    kernel.drain(clock.now_ms() + settings.api.drain_timeout_ms)
+    failure = kernel.wait_for_end()
+    journal.record_event("instance.stopping", failure=failure)
+    drained = kernel.drain(clock.now_ms() + settings.api.drain_timeout_ms)
+    if not drained:
+        journal.record_event("instance.drain_cut_short")
+        # Threads may be inside requests that nobody waits for any more.
+        sys.stderr.flush()
+        os._exit(EXIT_FAILED)
     kernel.stop()
     journal.record_event("instance.stopped")
     return kernel.failure
 
 
+def forward_signals(kernel: Kernel) -> None:
+    """Turns each stop signal into a stop request."""
+    while True:
+        number = signal.sigwait(STOP_SIGNALS)
+        journal.record_event("instance.signal", name=signal.Signals(number).name)
+        kernel.request_stop()
+
+
 if __name__ == "__main__":
     app()
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/members.py
@@ -0,0 +1,267 @@
+"""Member table: what is believed of each instance, and which belief prevails.
+
+The table opens no sockets and starts no threads; `membership` feeds it.
+"""
+
+import dataclasses
+import random
+
+from gooseberrymux.messages import MemberUpdate
+from gooseberrymux.records import InstanceRecord, MemberState
+
+# Bounds the updates on a probe, so that its size does not grow with the fleet.
+UPDATES_LIMIT = 8
+# An update rides on this many probes for each doubling of the fleet, which reaches all
+# members with high probability.
+SPREAD_FACTOR = 3
+# A member raises its sequence once for each accusation; more is garbage.
+SEQUENCE_LIMIT = 1 << 40
+
+SEVERITY = {
+    MemberState.ALIVE: 0,
+    MemberState.SUSPECT: 1,
+    MemberState.LEAVING: 2,
+    MemberState.DEAD: 3,
+}
+
+
+def prevails(update: MemberUpdate, over: MemberUpdate) -> bool:
+    """Returns whether one update replaces another about the same member.
+
+    A later run wins, then the sequence that only the member itself raises, then the
+    worse state. The address only makes the order total.
+    """
+    return sort_key(update) > sort_key(over)
+
+
+def sort_key(update: MemberUpdate) -> tuple:
+    """Returns the key by which updates about one member are ordered."""
+    return (
+        update.incarnation,
+        update.sequence,
+        SEVERITY[update.state],
+        update.host,
+        update.port,
+        update.failure_domain,
+        update.region,
+    )
+
+
+class Member:
+    """One row of the table."""
+
+    __slots__ = ("update", "silent_since_ms", "spreads_left")
+
+    def __init__(self, *, update: MemberUpdate):
+        self.update = update
+        self.silent_since_ms: float | None = None
+        self.spreads_left = 0
+
+
+class MemberTable:
+    """All members by name, this instance included. Not thread-safe."""
+
+    __slots__ = ("own_name", "_members", "_random")
+
+    def __init__(self, *, own: MemberUpdate, seed: int):
+        self.own_name = own.instance
+        self._members = {own.instance: Member(update=own)}
+        self._random = random.Random(seed)
+
+    @property
+    def own(self) -> MemberUpdate:
+        """What this instance says of itself."""
+        return self._members[self.own_name].update
+
+    def get(self, name: str) -> MemberUpdate | None:
+        """Returns what is believed of a member, or None."""
+        member = self._members.get(name)
+        return member.update if member else None
+
+    def list_all(self) -> tuple[MemberUpdate, ...]:
+        """Returns what is believed of every member."""
+        return tuple(member.update for member in self._members.values())
+
+    def list_live(self) -> tuple[InstanceRecord, ...]:
+        """Returns the members that may own upstreams.
+
+        A member that only the platform's list names (incarnation 0) counts once it
+        was heard: the list lags and may name the dead.
+        """
+        return tuple(
+            create_record(update)
+            for update in self.list_all()
+            if update.state is MemberState.ALIVE and update.incarnation
+        )
+
+    def merge(self, update: MemberUpdate, *, now_ms: float) -> bool:
+        """Takes over an update about another member if it prevails.
+
+        Returns:
+            Whether it changed the table.
+        """
+        if update.instance == self.own_name or update.sequence > SEQUENCE_LIMIT:
+            return False
+        member = self._members.get(update.instance)
+        if member is None:
+            member = Member(update=update)
+            self._members[update.instance] = member
+        elif not prevails(update, member.update):
+            return False
+        member.update = update
+        suspected = update.state is MemberState.SUSPECT
+        member.silent_since_ms = now_ms if suspected else None
+        member.spreads_left = self._count_spreads()
+        return True
+
+    def refute(self, update: MemberUpdate) -> bool:
+        """Outbids what another says of this run of this instance.
+
+        Returns:
+            Whether the update was an accusation that had to be outbid.
+        """
+        own = self.own
+        if (
+            update.instance != self.own_name
+            or update.incarnation != own.incarnation
+            or update.sequence > SEQUENCE_LIMIT
+            or not prevails(update, own)
+        ):
+            return False
+        self._set_own(dataclasses.replace(own, sequence=update.sequence + 1))
+        return True
+
+    def leave(self) -> None:
+        """Enters this instance as leaving."""
+        own = self.own
+        self._set_own(
+            dataclasses.replace(
+                own, state=MemberState.LEAVING, sequence=own.sequence + 1
+            )
+        )
+
+    def hint(self, record: InstanceRecord) -> bool:
+        """Enters a member that the platform's list names, if it is not known.
+
+        The list lags, so it neither revives a member nor takes a known one away.
+
+        Returns:
+            Whether the member has to be contacted at the list's address: it is new,
+            was never heard, or is dead and may have come back elsewhere.
+        """
+        member = self._members.get(record.name)
+        if record.name == self.own_name:
+            return False
+        if member is None:
+            state = MemberState.LEAVING if record.leaving else MemberState.ALIVE
+            update = create_hint(record, state)
+            self._members[record.name] = Member(update=update)
+            return True
+        if member.update.incarnation == 0:
+            member.update = create_hint(record, member.update.state)
+            return True
+        return member.update.state is MemberState.DEAD
+
+    def accuse(self, name: str, *, now_ms: float) -> bool:
+        """Notes that a member is silent; returns whether its state changed."""
+        member = self._members.get(name)
+        if member is None or name == self.own_name:
+            return False
+        if member.update.state is MemberState.DEAD:
+            return False
+        if member.silent_since_ms is None:
+            member.silent_since_ms = now_ms
+        if member.update.state is not MemberState.ALIVE:
+            return False
+        self._change_state(member, MemberState.SUSPECT)
+        return True
+
+    def clear(self, name: str) -> None:
+        """Notes that a leaving member was heard; a suspect has to refute by itself."""
+        member = self._members.get(name)
+        if member and member.update.state is MemberState.LEAVING:
+            member.silent_since_ms = None
+
+    def condemn(self, *, before_ms: float) -> list[MemberUpdate]:
+        """Declares dead all members that are silent since before `before_ms`."""
+        condemned = []
+        for member in self._members.values():
+            since_ms = member.silent_since_ms
+            if since_ms is not None and since_ms <= before_ms:
+                self._change_state(member, MemberState.DEAD)
+                member.silent_since_ms = None
+                condemned.append(member.update)
+        return condemned
+
+    def list_silent(self) -> list[str]:
+        """Returns the members that are silent but not yet declared dead."""
+        return [
+            name
+            for name, member in self._members.items()
+            if member.silent_since_ms is not None
+        ]
+
+    def forget(self, name: str) -> None:
+        """Removes a member."""
+        self._members.pop(name, None)
+
+    def pick_updates(self, *, target: str) -> list[MemberUpdate]:
+        """Returns the updates for one probe: at most `UPDATES_LIMIT`.
+
+        The first is this instance's own. A target that is not believed alive learns
+        that, so that it can refute it. News goes before a few members at random,
+        which lets a newcomer learn the whole fleet over time.
+        """
+        chosen = {self.own_name: self.own}
+        accused = self.get(target)
+        if accused and accused.state is not MemberState.ALIVE and accused.incarnation:
+            chosen[target] = accused
+        news = sorted(
+            (member for member in self._members.values() if member.spreads_left > 0),
+            key=lambda member: member.spreads_left,
+            reverse=True,
+        )
+        for member in news[: UPDATES_LIMIT - len(chosen)]:
+            member.spreads_left -= 1
+            chosen[member.update.instance] = member.update
+        room = UPDATES_LIMIT - len(chosen)
+        others = list(self._members)
+        for name in self._random.sample(others, min(room, len(others))):
+            update = self._members[name].update
+            if update.incarnation:
+                chosen.setdefault(name, update)
+        return list(chosen.values())
+
+    def _change_state(self, member: Member, state: MemberState) -> None:
+        member.update = dataclasses.replace(member.update, state=state)
+        member.spreads_left = self._count_spreads()
+
+    def _set_own(self, update: MemberUpdate) -> None:
+        self._members[self.own_name].update = update
+
+    def _count_spreads(self) -> int:
+        return SPREAD_FACTOR * len(self._members).bit_length()
+
+
+def create_record(update: MemberUpdate) -> InstanceRecord:
+    """Returns the record of a member that may own upstreams."""
+    return InstanceRecord(
+        name=update.instance,
+        host=update.host,
+        peer_port=update.port,
+        failure_domain=update.failure_domain,
+        region=update.region,
+    )
+
+
+def create_hint(record: InstanceRecord, state: MemberState) -> MemberUpdate:
+    """Returns the row of a member that was never heard."""
+    return MemberUpdate(
+        instance=record.name,
+        incarnation=0,
+        state=state,
+        host=record.host,
+        port=record.peer_port,
+        failure_domain=record.failure_domain,
+        region=record.region,
+    )
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -1,13 +1,45 @@
-"""Which instances are alive, suspected, dead or leaving."""
+"""Which instances are alive, suspected, dead or leaving, found by their own probes.
+
+Each period one member is probed, in a shuffled round robin, and two others are asked
+to probe a member that did not answer. Probes carry a bounded number of updates, so
+the cost for each instance does not grow with the fleet.
+"""
 
 import dataclasses
+import random
 import threading
 
-from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.peers import Peers
-from gooseberrymux.records import InstanceRecord
+from gooseberrymux import journal, metrics
+from gooseberrymux.kernel import Kernel, LeaveStarted, service
+from gooseberrymux.members import MemberTable
+from gooseberrymux.messages import MemberUpdate, Probe, ProbeReply, ProbeRequest
+from gooseberrymux.peers import LinkDown, Peers
+from gooseberrymux.probes import (
+    Answered,
+    AskOthers,
+    Missed,
+    PendingProbe,
+    ProbeBook,
+)
+from gooseberrymux.records import InstanceIdentity, InstanceRecord, MemberState
 from gooseberrymux.settings import Address
 
+INDIRECT_PROBES = 2
+# A peer that owes an answer and is silent this long is probed at once. With the probe
+# timeout this keeps the loss of a frozen peer well within a second.
+QUIET_MS = 150
+QUIET_SCAN_MS = 100
+# A loop that wakes this late was paused itself; its probes get that much longer.
+LATE_MS = 100
+SILENT_PROBES = 3
+# A newcomer probes this many members of the platform's list at once; the others follow
+# in the round robin.
+JOIN_PROBES = 16
+# Every so many periods a dead member is probed, so that a healed partition is found.
+DEAD_PROBE_PERIODS = 10
+DEAD_RETENTION_MS = 600_000
+SEED_PREFIX = "seed "
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MemberChanged:
@@ -19,47 +51,395 @@
 
 @service("membership", requires=("peers",))
 class Membership:
-    """The member table of this instance."""
+    """Probes members and keeps the member table."""
 
-    __slots__ = ("_kernel", "_peers", "_members", "_lock")
+    __slots__ = (
+        "_kernel",
+        "_peers",
+        "_table",
+        "_probes",
+        "_round",
+        "_dead_ms",
+        "_random",
+        "_lock",
+        "_changed",
+        "_next_probe_ms",
+        "_periods",
+        "_stopping",
+        "_live",
+    )
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._peers = kernel.find("peers", Peers)
-        self._members: dict[str, InstanceRecord] = {}
-        self._lock = threading.Lock()
-
-    def start(self) -> None:
-        """Enters this instance into the table."""
-        own = self._kernel.settings.instance
-        self.learn(
-            InstanceRecord(
-                name=own.name,
+        identity = self._peers.identity
+        own = kernel.settings.instance
+        self._table = MemberTable(
+            own=MemberUpdate(
+                instance=identity.name,
+                incarnation=identity.incarnation,
+                state=MemberState.ALIVE,
                 host=own.peers.host,
-                peer_port=own.peers.port,
+                port=own.peers.port,
                 failure_domain=own.failure_domain,
                 region=own.region,
-            )
+            ),
+            seed=identity.incarnation,
         )
+        self._probes = ProbeBook(timeout_ms=kernel.settings.membership.probe_timeout_ms)
+        self._round: list[str] = []
+        self._dead_ms: dict[str, float] = {}
+        self._random = random.Random(identity.incarnation)
+        self._lock = threading.RLock()
+        self._changed = threading.Condition(self._lock)
+        self._next_probe_ms = 0.0
+        self._periods = 0
+        self._stopping = False
+        self._live = self._table.list_live()
+        self._peers.register(Probe, self._handle_probe)
+        self._peers.register(ProbeReply, self._handle_reply)
+        self._peers.register(ProbeRequest, self._handle_request)
+        kernel.subscribe(LinkDown, self._handle_down)
+        kernel.subscribe(LeaveStarted, self._handle_leave)
+
+    def start(self) -> None:
+        """Contacts the seeds and starts to probe."""
+        for seed in self._kernel.settings.membership.seeds:
+            self._peers.connect(name=f"{SEED_PREFIX}{seed}", address=seed)
+        self._kernel.spawn(name="membership.probe", target=self._probe_members)
 
     def drain(self, deadline_ms: float) -> None:
-        """Nothing to drain yet."""
+        """Keeps probing: peers must not take a leaving member for dead."""
 
     def stop(self) -> None:
-        """Nothing to stop yet."""
+        """Ends the probes."""
+        with self._changed:
+            self._stopping = True
+            self._changed.notify_all()
 
     def learn(self, record: InstanceRecord) -> None:
-        """Takes over a member that the platform's list or a peer names."""
+        """Takes a hint from the platform's list; probes decide what becomes of it."""
         with self._lock:
-            self._members[record.name] = record
+            contact = self._table.hint(record)
+        if not contact:
+            return
         self._peers.connect(
             name=record.name, address=Address(host=record.host, port=record.peer_port)
         )
-        self._kernel.publish(MemberChanged(instance=record.name, state="alive"))
+        with self._lock:
+            if len(self._probes) < JOIN_PROBES:
+                self._probe(record.name, indirect=False)
 
     def list_live(self) -> tuple[InstanceRecord, ...]:
-        """Returns the members that take work, this instance included."""
-        with self._lock:
+        """Returns the members that may own upstreams, this instance included.
+
+        Leaving, suspected and dead members are left out. A suspect is left out
+        because two owners for a while do no harm, whereas work queued at a dead owner
+        costs its callers a second. A peer that this instance itself has lost is left
+        out even before the table says so.
+        """
+        live = self._live
+        if any(self._peers.is_lost(member.name) for member in live):
             return tuple(
-                member for member in self._members.values() if not member.leaving
+                member for member in live if not self._peers.is_lost(member.name)
+            )
+        return live
+
+    def list_members(self) -> tuple[MemberUpdate, ...]:
+        """Returns what is believed of every member."""
+        with self._lock:
+            return self._table.list_all()
+
+    def watch_closely(self, instance: str) -> None:
+        """Probes a member at once, directly and through others.
+
+        Peers that owe an answer and fall silent are watched without this call.
+        """
+        with self._lock:
+            self._probe(instance, indirect=True)
+        self._wake()
+
+    def describe(self) -> dict:
+        """Returns own state, counts by state and the members that are not alive."""
+        members = self.list_members()
+        return {
+            "own_state": self._table.own.state.value,
+            "incarnation": self._table.own.incarnation,
+            "counts": count_states(members),
+            "not_alive": {
+                member.instance: member.state.value
+                for member in members
+                if member.state is not MemberState.ALIVE
+            },
+        }
+
+    def _probe_members(self) -> None:
+        self._next_probe_ms = self._kernel.clock.now_ms()
+        while True:
+            with self._changed:
+                if self._stopping:
+                    return
+                now_ms = self._kernel.clock.now_ms()
+                wake_ms = self._probes.find_deadline(
+                    min(self._next_probe_ms, now_ms + QUIET_SCAN_MS)
+                )
+                if wake_ms > now_ms:
+                    self._kernel.clock.wait(self._changed, wake_ms - now_ms)
+                late_ms = self._kernel.clock.now_ms() - wake_ms
+                if late_ms > LATE_MS:
+                    self._extend_probes(late_ms)
+            self._run_period()
+
+    def _extend_probes(self, late_ms: float) -> None:
+        journal.record_event("membership.late", late_ms=round(late_ms))
+        self._probes.extend(late_ms)
+        self._next_probe_ms = self._kernel.clock.now_ms()
+
+    def _run_period(self) -> None:
+        now_ms = self._kernel.clock.now_ms()
+        settings = self._kernel.settings.membership
+        self._check_probes(now_ms)
+        with self._lock:
+            condemned = self._table.condemn(before_ms=now_ms - settings.suspect_ms)
+        for update in condemned:
+            self._dead_ms[update.instance] = now_ms
+            self._announce(update, reason="silent")
+        for name in self._peers.list_quiet(QUIET_MS):
+            with self._lock:
+                self._probe(name, indirect=True)
+        if now_ms >= self._next_probe_ms:
+            self._next_probe_ms = now_ms + settings.probe_period_ms
+            self._periods += 1
+            with self._lock:
+                for name in self._pick_targets():
+                    self._probe(name, indirect=False)
+            self._contact_seeds()
+            self._forget_dead(now_ms)
+
+    def _pick_targets(self) -> list[str]:
+        silent = self._table.list_silent()
+        targets = self._random.sample(silent, min(SILENT_PROBES, len(silent)))
+        states = {update.instance: update.state for update in self._table.list_all()}
+        if self._periods % DEAD_PROBE_PERIODS == 0 and self._dead_ms:
+            targets.append(self._random.choice(list(self._dead_ms)))
+        if not self._round:
+            self._round = [
+                name
+                for name, state in states.items()
+                if name != self._table.own_name and state is not MemberState.DEAD
+            ]
+            self._random.shuffle(self._round)
+        if self._round:
+            targets.append(self._round.pop())
+        return targets
+
+    def _probe(self, target: str, *, indirect: bool) -> None:
+        update = self._table.get(target)
+        sequence = self._probes.open(
+            target=target,
+            incarnation=update.incarnation if update else 0,
+            now_ms=self._kernel.clock.now_ms(),
+            indirect=indirect,
+        )
+        if sequence is None:
+            return
+        self._send(target, Probe, sequence=sequence)
+        if indirect:
+            self._probe_indirectly(target, sequence)
+
+    def _probe_indirectly(self, target: str, sequence: int) -> None:
+        helpers = [member.name for member in self._live if member.name != target]
+        if self._table.own_name in helpers:
+            helpers.remove(self._table.own_name)
+        count = min(INDIRECT_PROBES, len(helpers))
+        for helper in self._random.sample(helpers, count):
+            self._send(helper, ProbeRequest, sequence=sequence, target=target)
+
+    def _send(self, name: str, kind: type, **fields: object) -> None:
+        message = kind(updates=self._table.pick_updates(target=name), **fields)
+        self._peers.send(name, message, despite_loss=True)
+
+    def _check_probes(self, now_ms: float) -> None:
+        missed = []
+        with self._lock:
+            verdicts = self._probes.judge(
+                now_ms=now_ms, get_last_heard_ms=self._peers.get_last_heard_ms
+            )
+            for verdict in verdicts:
+                match verdict:
+                    case Answered(probe=probe):
+                        self._note_answer(probe)
+                    case AskOthers(probe=probe, sequence=sequence):
+                        self._probe_indirectly(probe.target, sequence)
+                    case Missed(probe=probe):
+                        missed.append(probe)
+        for probe in missed:
+            metrics.probes_total.inc({"kind": "indirect", "result": "missed"})
+            self._accuse(probe.target, reason="no answer to probes")
+            self._peers.lose(
+                name=probe.target,
+                incarnation=probe.incarnation,
+                reason="no answer to probes",
             )
+
+    def _note_answer(self, probe: PendingProbe) -> None:
+        kind = "indirect" if probe.indirect else "direct"
+        metrics.probes_total.inc({"kind": kind, "result": "answered"})
+        self._table.clear(probe.target)
+
+    def _accuse(self, name: str, *, reason: str) -> None:
+        with self._lock:
+            changed = self._table.accuse(name, now_ms=self._kernel.clock.now_ms())
+            update = self._table.get(name)
+        if changed and update:
+            self._announce(update, reason=reason)
+
+    def take_updates(
+        self, updates: list[MemberUpdate], *, sender: InstanceIdentity
+    ) -> bool:
+        """Takes over updates; returns whether this instance had to refute one."""
+        refuted = False
+        for update in updates:
+            with self._lock:
+                before = self._table.get(update.instance)
+                refuted = self._table.refute(update) or refuted
+                changed = self._table.merge(update, now_ms=self._kernel.clock.now_ms())
+                if changed and update.state is not MemberState.DEAD:
+                    self._dead_ms.pop(update.instance, None)
+            if not changed:
+                continue
+            if update.state is MemberState.DEAD:
+                self._dead_ms[update.instance] = self._kernel.clock.now_ms()
+            else:
+                self._peers.connect(
+                    name=update.instance,
+                    address=Address(host=update.host, port=update.port),
+                )
+            if before is None or (before.incarnation, before.state) != (
+                update.incarnation,
+                update.state,
+            ):
+                self._announce(update, reason=f"told by {sender.name}")
+        if refuted:
+            journal.record_event("membership.refuted", peer=sender.name)
+        return refuted
+
+    def _announce(self, update: MemberUpdate, *, reason: str) -> None:
+        with self._lock:
+            self._live = self._table.list_live()
+            counts = count_states(self._table.list_all())
+        for state, count in counts.items():
+            metrics.members.set({"state": state}, count)
+        journal.record_event(
+            "membership.changed",
+            member=update.instance,
+            incarnation=update.incarnation,
+            state=update.state.value,
+            reason=reason,
+        )
+        self._kernel.publish(
+            MemberChanged(instance=update.instance, state=update.state)
+        )
+        if update.state is MemberState.DEAD:
+            self._peers.lose(
+                name=update.instance,
+                incarnation=update.incarnation,
+                reason="declared dead",
+            )
+
+    def _contact_seeds(self) -> None:
+        seeds = [
+            name
+            for name in self._peers.list_connected()
+            if name.startswith(SEED_PREFIX)
+        ]
+        with self._lock:
+            known = {f"{SEED_PREFIX}{m.host}:{m.port}" for m in self._table.list_all()}
+            for name in seeds:
+                if name not in known:
+                    self._send(name, Probe, sequence=self._probes.create_sequence())
+        for name in seeds:
+            if name in known:
+                self._peers.disconnect(name)
+
+    def _forget_dead(self, now_ms: float) -> None:
+        for name, since_ms in list(self._dead_ms.items()):
+            if now_ms - since_ms >= DEAD_RETENTION_MS:
+                with self._lock:
+                    del self._dead_ms[name]
+                    self._table.forget(name)
+                self._peers.disconnect(name)
+        with self._lock:
+            self._probes.expire_relays(now_ms)
+
+    def _handle_probe(self, sender: InstanceIdentity, message: object) -> None:
+        assert isinstance(message, Probe)
+        self.take_updates(message.updates, sender=sender)
+        with self._lock:
+            self._send(
+                sender.name,
+                ProbeReply,
+                sequence=message.sequence,
+                target=self._table.own_name,
+            )
+
+    def _handle_reply(self, sender: InstanceIdentity, message: object) -> None:
+        assert isinstance(message, ProbeReply)
+        refuted = self.take_updates(message.updates, sender=sender)
+        with self._lock:
+            probe = self._probes.close(sequence=message.sequence, target=message.target)
+            if probe:
+                self._note_answer(probe)
+            relay = self._probes.close_relay(message.sequence)
+            if relay:
+                self._send(
+                    relay.requester,
+                    ProbeReply,
+                    sequence=relay.sequence,
+                    target=message.target,
+                )
+            if refuted:
+                # The accuser learns of the refutation now, not at the next period.
+                self._probe(sender.name, indirect=False)
+
+    def _handle_request(self, sender: InstanceIdentity, message: object) -> None:
+        assert isinstance(message, ProbeRequest)
+        self.take_updates(message.updates, sender=sender)
+        with self._lock:
+            sequence = self._probes.open_relay(
+                requester=sender.name,
+                sequence=message.sequence,
+                now_ms=self._kernel.clock.now_ms(),
+            )
+            if sequence is not None:
+                self._send(message.target, Probe, sequence=sequence)
+
+    def _handle_down(self, event: LinkDown) -> None:
+        if self._stopping:
+            return
+        # A broken connection is taken as silence at once. If only the connection
+        # broke, the member refutes that with its next message.
+        self._accuse(event.instance, reason="connection broke")
+        with self._lock:
+            self._probe(event.instance, indirect=True)
+
+    def _handle_leave(self, event: LeaveStarted) -> None:
+        with self._lock:
+            self._table.leave()
+            own = self._table.own
+        self._announce(own, reason=event.reason)
+        for name in self._peers.list_connected():
+            with self._lock:
+                self._send(name, Probe, sequence=self._probes.create_sequence())
+
+    def _wake(self) -> None:
+        with self._changed:
+            self._changed.notify_all()
+
+
+def count_states(members: tuple[MemberUpdate, ...]) -> dict[str, int]:
+    """Returns the number of members in each state."""
+    counts = {state.value: 0 for state in MemberState}
+    for member in members:
+        counts[member.state.value] += 1
+    return counts
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gooseberrymux.records import Rank
+from gooseberrymux.records import MemberState, Rank
 
 _message = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -115,16 +115,19 @@
 
     Attributes:
         instance: The member it is about.
-        incarnation: Its run.
-        state: alive, suspect, dead or leaving.
-        address: Host and port of its peer listener.
+        incarnation: Its run; 0 if only the platform's list names it.
+        sequence: Raised by the member itself, to refute what is said of it.
+        state: What it is believed to be.
+        host: IP number of its peer listener.
+        port: Port of its peer listener.
         failure_domain: Where it runs.
         region: Region it runs in.
     """
 
     instance: str
     incarnation: int
-    state: str
+    sequence: int = 0
+    state: MemberState
     host: str
     port: int
     failure_domain: str
@@ -192,17 +195,23 @@
 
 @_message
 class LeavingNotice:
-    """An upstream is leaving and gets no new work.
+    """An upstream is leaving and gets no new work, or an operator took it back.
 
     Attributes:
         upstream: The upstream.
         epoch: Its registration that is leaving.
+        generation: Configuration generation in force at the signal.
         source: platform, operator or upstream.
+        returned_epoch: Registration that the last undrain was for; -1 for none.
+        returned_generation: Generation of that undrain; -1 for none.
     """
 
     upstream: str
     epoch: int
+    generation: int = 0
     source: str
+    returned_epoch: int = -1
+    returned_generation: int = -1
 
 
 @_message
@@ -275,6 +284,17 @@
     status: dict
 
 
+# Requests that the receiver answers once, and the answers. A peer that owes an answer
+# is probed at once when it falls silent.
+AWAITED_TYPES = (Subrequest, ClaimRequest, OutcomeRecord, StatusRequest)
+ANSWER_TYPES = (
+    SubrequestCompleted,
+    SubrequestNotRun,
+    SubrequestUnknown,
+    LedgerReply,
+    StatusReply,
+)
+
 MESSAGE_TYPES = (
     Subrequest,
     CancelSubrequest,
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -26,6 +26,22 @@
     "gooseberrymux_generation", "Generation in force of each replicated document."
 )
 members = Gauge("gooseberrymux_members", "Known instances by state.")
+peers_lost_total = Counter(
+    "gooseberrymux_peers_lost_total", "Losses of a link with calls, by reason."
+)
+peer_resets_total = Counter(
+    "gooseberrymux_peer_resets_total",
+    "Messages of this instance that a restarted peer rejected at once.",
+)
+peer_bytes_total = Counter(
+    "gooseberrymux_peer_bytes_total", "Bytes of peer frames, by direction."
+)
+probes_total = Counter(
+    "gooseberrymux_probes_total", "Probes by kind (direct, indirect) and result."
+)
+leaving_upstreams = Gauge(
+    "gooseberrymux_leaving_upstreams", "Upstreams with a leaving notice."
+)
 faults_total = Counter("gooseberrymux_faults_total", "Faults by step.")
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -4,7 +4,6 @@
 silently and a restarted peer would otherwise look the same.
 """
 
-import collections
 import dataclasses
 import secrets
 import threading
@@ -14,18 +13,27 @@
 from result import Err, Ok, Result
 
 from gooseberrymux import journal, metrics
-from gooseberrymux.codec import Envelope, decode_envelope, encode_envelope
+from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, decode_envelope
+from gooseberrymux.drops import DropRecorder
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.messages import IncarnationMismatch
+from gooseberrymux.links import BATCH_LIMIT, Link, Loss
+from gooseberrymux.messages import (
+    ANSWER_TYPES,
+    AWAITED_TYPES,
+    IncarnationMismatch,
+    MemberUpdate,
+    Probe,
+    ProbeReply,
+    ProbeRequest,
+)
 from gooseberrymux.records import InstanceIdentity
+from gooseberrymux.senders import Sender
 from gooseberrymux.settings import Address
 
-RECEIVE_TIMEOUT_MS = 200
-SEND_TIMEOUT_MS = 1_000
-OUTBOUND_LIMIT = 4_096
-INBOUND_LIMIT = 8_192
-BATCH_LIMIT = 128
+# Frames over the limit are refused and counted; beyond this size the transport closes
+# the connection before the frame is in memory.
+RECEIVE_LIMIT_BYTES = 2 * FRAME_LIMIT_BYTES
 INCARNATION_RANDOM_BITS = 10
 
 
@@ -34,65 +42,31 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class PeerLost:
-    """Calls in flight at this run of a peer are gone."""
+class LinkDown:
+    """The connection to a peer broke; published before what was lost with it."""
 
     instance: str
     incarnation: int
-    reason: str
-
-
-Handler = Callable[[InstanceIdentity, object], None]
-
 
-class Mailbox:
-    """Bounded queue of one thread; `take_all` blocks until something is there."""
 
-    __slots__ = ("_items", "_changed", "_limit", "_closed", "_clock")
-
-    def __init__(self, *, limit: int, clock):
-        self._items: collections.deque = collections.deque()
-        self._changed = threading.Condition()
-        self._limit = limit
-        self._closed = False
-        self._clock = clock
-
-    def put(self, item: object) -> bool:
-        """Adds an item; returns False if the box is full or closed."""
-        with self._changed:
-            if self._closed or len(self._items) >= self._limit:
-                return False
-            self._items.append(item)
-            self._changed.notify()
-            return True
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class MessagesNotSent:
+    """These queued messages were dropped and certainly not sent."""
 
-    def take_all(self, limit: int) -> list:
-        """Returns up to `limit` items; an empty list means that the box is closed."""
-        with self._changed:
-            while not self._items and not self._closed:
-                self._clock.wait(self._changed, None)
-            count = min(limit, len(self._items))
-            return [self._items.popleft() for _ in range(count)]
+    instance: str
+    messages: list
 
-    def close(self) -> None:
-        """Lets the thread that takes finish what is left and end."""
-        with self._changed:
-            self._closed = True
-            self._changed.notify_all()
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerLost:
+    """Calls in flight at this run of a peer are gone."""
 
-class Peer:
-    """State of the link with one peer."""
+    instance: str
+    incarnation: int
+    reason: str
 
-    __slots__ = ("name", "address", "incarnation", "outbound", "inbound", "socket")
 
-    def __init__(self, *, name: str, address: Address, clock):
-        self.name = name
-        self.address = address
-        self.incarnation = 0
-        self.outbound = Mailbox(limit=OUTBOUND_LIMIT, clock=clock)
-        self.inbound = Mailbox(limit=INBOUND_LIMIT, clock=clock)
-        self.socket: pynng.Push0 | None = None
+Handler = Callable[[InstanceIdentity, object], None]
 
 
 @service("peers")
@@ -102,11 +76,13 @@
     __slots__ = (
         "_kernel",
         "identity",
-        "_peers",
+        "_links",
         "_handlers",
         "_lock",
         "_listener",
         "_stopping",
+        "_drops",
+        "resets",
         "bytes_sent",
         "bytes_received",
     )
@@ -117,11 +93,13 @@
             name=kernel.settings.instance.name,
             incarnation=create_incarnation(kernel.clock.wall_ms()),
         )
-        self._peers: dict[str, Peer] = {}
+        self._links: dict[str, Link] = {}
         self._handlers: dict[type, Handler] = {}
         self._lock = threading.Lock()
         self._listener: pynng.Pull0 | None = None
         self._stopping = False
+        self._drops = DropRecorder(clock=kernel.clock)
+        self.resets = 0
         self.bytes_sent = 0
         self.bytes_received = 0
         self.register(IncarnationMismatch, self._handle_mismatch)
@@ -134,176 +112,315 @@
         """Opens the listener."""
         address = self._kernel.settings.instance.peers
         self._listener = pynng.Pull0(
-            listen=f"tcp://{address}", recv_timeout=RECEIVE_TIMEOUT_MS
+            listen=f"tcp://{address}", recv_max_size=RECEIVE_LIMIT_BYTES
         )
         self._kernel.spawn(name="peers.listener", target=self._receive_frames)
 
     def drain(self, deadline_ms: float) -> None:
-        """Nothing to do: the links stay up until all other services are drained."""
+        """Waits until the last outcome is handed to the links."""
+        self._kernel.wait_until(
+            lambda: all(link.is_idle for link in list(self._links.values())),
+            deadline_ms,
+        )
 
     def stop(self) -> None:
-        """Closes all links."""
+        """Closes all links and the listener."""
         self._stopping = True
-        for peer in list(self._peers.values()):
-            peer.outbound.close()
-            peer.inbound.close()
+        with self._lock:
+            links = list(self._links.values())
+        for link in links:
+            link.close()
+        if self._listener:
+            self._listener.close()
 
     def connect(self, *, name: str, address: Address) -> None:
-        """Opens the link with a peer, or moves it to a new address."""
+        """Notes where a peer listens; the first message opens the connection."""
         with self._lock:
-            known = self._peers.get(name)
+            known = self._links.get(name)
             if name == self.identity.name or (known and known.address == address):
                 return
-            if known:
-                known.outbound.close()
-                known.inbound.close()
-            peer = Peer(name=name, address=address, clock=self._kernel.clock)
-            self._peers[name] = peer
-        self._kernel.spawn(name=f"peers.send.{name}", target=lambda: self._send(peer))
+            if self._stopping:
+                return
+            link = Link(name=name, address=address, clock=self._kernel.clock)
+            self._links[name] = link
+        if known:
+            self._report(known, known.lose(), "address changed")
+            known.close()
+
+    def _start_link(self, link: Link) -> None:
+        with self._lock:
+            if link.is_started:
+                return
+            link.is_started = True
+        sender = Sender(
+            kernel=self._kernel,
+            identity=self.identity,
+            link=link,
+            drops=self._drops,
+            report_down=self._report_down,
+            report_loss=self._report,
+            report_unsent=self._publish_unsent,
+            count_sent=self._count_sent,
+        )
+        self._kernel.spawn(name=f"peers.send.{link.name}", target=sender.run)
         self._kernel.spawn(
-            name=f"peers.receive.{name}", target=lambda: self._dispatch(peer)
+            name=f"peers.receive.{link.name}", target=lambda: self._dispatch(link)
         )
 
     def disconnect(self, name: str) -> None:
         """Closes the link with a peer that is gone."""
         with self._lock:
-            peer = self._peers.pop(name, None)
-        if peer:
-            peer.outbound.close()
-            peer.inbound.close()
+            link = self._links.pop(name, None)
+        if link:
+            self._report(link, link.lose(), "disconnected")
+            link.close()
 
     def list_connected(self) -> tuple[str, ...]:
         """Returns the names of all peers with a link."""
         with self._lock:
-            return tuple(self._peers)
+            return tuple(self._links)
 
     def get_incarnation(self, name: str) -> int:
         """Returns the last run that the peer named itself; 0 if none was heard."""
-        peer = self._peers.get(name)
-        return peer.incarnation if peer else 0
+        link = self._links.get(name)
+        return link.incarnation if link else 0
+
+    def is_lost(self, name: str) -> bool:
+        """Returns whether messages to a peer are refused because it was lost."""
+        link = self._links.get(name)
+        return link is not None and link.is_lost
+
+    def get_last_heard_ms(self, name: str) -> float | None:
+        """Returns when a frame of the peer last arrived; None without a link."""
+        link = self._links.get(name)
+        return link.last_heard_ms if link else None
+
+    def list_quiet(self, quiet_ms: float) -> tuple[str, ...]:
+        """Returns peers that owe an answer and sent nothing for `quiet_ms`."""
+        before_ms = self._kernel.clock.now_ms() - quiet_ms
+        return tuple(
+            link.name
+            for link in list(self._links.values())
+            if link.awaited and link.last_heard_ms < before_ms
+        )
 
-    def send(self, name: str, message: object) -> Result[None, PeerError]:
+    def send(
+        self, name: str, message: object, *, despite_loss: bool = False
+    ) -> Result[None, PeerError]:
         """Queues a message for a peer.
 
+        Args:
+            name: The peer.
+            message: The message.
+            despite_loss: Sends on a link whose peer is lost too; for probes only.
+
         Returns:
-            Err if there is no link with the peer or its queue is full; the message
-            was then certainly not sent.
+            Err if there is no link, the peer is lost or its queue is full; the
+            message was then certainly not sent.
         """
-        peer = self._peers.get(name)
-        if peer is None:
+        link = self._links.get(name)
+        if link is None:
             return Err(PeerError(step="peers.send", peer=name, message="no link"))
-        if not peer.outbound.put(message):
-            metrics.dropped_total.inc({"reason": "outbound_full"})
-            return Err(PeerError(step="peers.send", peer=name, message="queue full"))
+        if not link.is_started:
+            self._start_link(link)
+        refused = link.put(
+            message,
+            awaited=isinstance(message, AWAITED_TYPES),
+            despite_loss=despite_loss,
+        )
+        if refused:
+            self._drops.record(reason="not_sent", step="peers.send", peer=name)
+            return Err(PeerError(step="peers.send", peer=name, message=refused))
         return Ok(None)
 
-    def _send(self, peer: Peer) -> None:
-        with pynng.Push0(send_timeout=SEND_TIMEOUT_MS) as socket:
-            socket.dial(f"tcp://{peer.address}", block=False)
-            peer.socket = socket
-            while batch := peer.outbound.take_all(BATCH_LIMIT):
-                frame = encode_envelope(
-                    Envelope(
-                        sender=self.identity.name,
-                        sender_incarnation=self.identity.incarnation,
-                        target=peer.name,
-                        target_incarnation=peer.incarnation,
-                        messages=batch,
-                    )
-                )
-                try:
-                    socket.send(frame)
-                    self.bytes_sent += len(frame)
-                except pynng.NNGException as error:
-                    self._lose(peer, f"send failed: {error}")
+    def lose(self, *, name: str, incarnation: int, reason: str) -> None:
+        """Gives up on the calls at a run of a peer that no longer answers."""
+        link = self._links.get(name)
+        if link and link.incarnation == incarnation and not link.is_lost:
+            self._report(link, link.lose(silent=True), reason)
+
+    def describe(self) -> dict:
+        """Returns the state of the links for the status."""
+        links = list(self._links.values())
+        return {
+            "incarnation": self.identity.incarnation,
+            "links": len(links),
+            "up": sum(link.is_up for link in links),
+            "lost": sorted(link.name for link in links if link.is_lost),
+            "dropped": self._drops.describe(),
+            "resets": self.resets,
+            "bytes_sent": self.bytes_sent,
+            "bytes_received": self.bytes_received,
+        }
+
+    def _count_sent(self, size: int) -> None:
+        with self._lock:
+            self.bytes_sent += size
+        metrics.peer_bytes_total.add({"direction": "sent"}, size)
 
     def _receive_frames(self) -> None:
         assert self._listener is not None
-        with self._listener as listener:
-            while not self._stopping:
-                try:
-                    frame = listener.recv()
-                except pynng.Timeout:
-                    continue
-                self.bytes_received += len(frame)
-                self._accept(frame)
-
-    def _accept(self, frame: bytes) -> None:
+        while not self._stopping:
+            try:
+                received = self._listener.recv_msg()
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                journal.record_fault(step="peers.receive", peer="", error=error)
+                metrics.faults_total.inc({"step": "peers.receive"})
+                continue
+            frame = received.bytes
+            self.bytes_received += len(frame)
+            metrics.peer_bytes_total.add({"direction": "received"}, len(frame))
+            self._accept(frame, received.pipe)
+
+    def _accept(self, frame: bytes, pipe: pynng.Pipe | None) -> None:
         match decode_envelope(frame):
             case Err(error):
-                metrics.dropped_total.inc({"reason": "undecodable_frame"})
-                journal.record_fault(step="peers.receive", peer="", error=error)
+                self._drop("undecodable_frame", describe_pipe(pipe), str(error))
                 return
             case Ok(envelope):
                 pass
-        peer = self._peers.get(envelope.sender)
-        if peer is None:
-            metrics.dropped_total.inc({"reason": "unknown_sender"})
-            journal.record_event(
-                "peers.dropped", reason="unknown sender", peer=envelope.sender
-            )
+        if envelope.target not in ("", self.identity.name):
+            self._drop("other_target", envelope.sender, envelope.target)
+            return
+        if envelope.sender == self.identity.name:
+            self._drop("own_name", describe_pipe(pipe))
+            return
+        link = self._links.get(envelope.sender) or self._introduce(envelope)
+        if link is None:
+            self._drop("unknown_sender", envelope.sender)
             return
-        if not peer.inbound.put(envelope):
-            metrics.dropped_total.inc({"reason": "inbound_full"})
+        if envelope.sender_incarnation >= link.incarnation:
+            link.mark_heard()
+        if not link.is_started:
+            self._start_link(link)
+        if not link.inbound.put(envelope):
+            self._drop("inbound_full", envelope.sender)
+
+    def _introduce(self, envelope: Envelope) -> Link | None:
+        """Opens the link with an unknown sender whose probe says where it listens."""
+        for update in list_updates(envelope.messages):
+            if (update.instance, update.incarnation) == (
+                envelope.sender,
+                envelope.sender_incarnation,
+            ):
+                self.connect(
+                    name=update.instance,
+                    address=Address(host=update.host, port=update.port),
+                )
+                return self._links.get(update.instance)
+        return None
 
-    def _dispatch(self, peer: Peer) -> None:
-        while envelopes := peer.inbound.take_all(BATCH_LIMIT):
+    def _dispatch(self, link: Link) -> None:
+        while envelopes := link.inbound.take_all(BATCH_LIMIT):
             for envelope in envelopes:
-                self._dispatch_envelope(peer, envelope)
+                self._dispatch_envelope(link, envelope)
 
-    def _dispatch_envelope(self, peer: Peer, envelope: Envelope) -> None:
-        if envelope.sender_incarnation < peer.incarnation:
-            metrics.dropped_total.inc({"reason": "earlier_incarnation"})
+    def _dispatch_envelope(self, link: Link, envelope: Envelope) -> None:
+        if envelope.sender_incarnation < link.incarnation:
+            self._drop("earlier_incarnation", link.name)
             return
-        if envelope.sender_incarnation > peer.incarnation:
-            earlier = peer.incarnation
-            peer.incarnation = envelope.sender_incarnation
-            if earlier:
-                self._publish_lost(peer.name, earlier, "restarted")
+        loss = link.restart(envelope.sender_incarnation)
+        if loss:
+            self._report(link, loss, "restarted")
         if envelope.target_incarnation not in (0, self.identity.incarnation):
-            metrics.dropped_total.inc({"reason": "other_incarnation"})
+            self._drop("other_incarnation", link.name)
             if self._kernel.settings.policy.peer_reset:
                 self.send(
-                    peer.name,
+                    link.name,
                     IncarnationMismatch(
                         intended=envelope.target_incarnation,
                         current=self.identity.incarnation,
                     ),
+                    despite_loss=True,
                 )
             return
         sender = InstanceIdentity(
             name=envelope.sender, incarnation=envelope.sender_incarnation
         )
         for message in envelope.messages:
-            handler = self._handlers.get(type(message))
-            if handler is None:
-                metrics.dropped_total.inc({"reason": "no_handler"})
-                continue
-            try:
-                handler(sender, message)
-            except Exception as error:
-                journal.record_fault(
-                    step=f"peers.handle.{type(message).__name__}",
-                    peer=peer.name,
-                    error=error,
-                )
-                metrics.faults_total.inc({"step": "peers.handle"})
+            if isinstance(message, ANSWER_TYPES):
+                link.mark_answered()
+            self._handle(sender, message)
+
+    def _handle(self, sender: InstanceIdentity, message: object) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            self._drop("no_handler", sender.name, type(message).__name__)
+            return
+        try:
+            handler(sender, message)
+        except Exception as error:
+            step = f"peers.handle.{type(message).__name__}"
+            journal.record_fault(step=step, peer=sender.name, error=error)
+            metrics.faults_total.inc({"step": "peers.handle"})
 
     def _handle_mismatch(self, sender: InstanceIdentity, message: object) -> None:
+        # The envelope that carried this already moved the link to the current run and
+        # reported the loss of the intended one.
         assert isinstance(message, IncarnationMismatch)
-        self._publish_lost(sender.name, message.intended, "incarnation mismatch")
+        metrics.peer_resets_total.inc({})
+        with self._lock:
+            self.resets += 1
+        journal.record_event(
+            "peers.reset",
+            peer=sender.name,
+            intended=message.intended,
+            current=message.current,
+        )
 
-    def _lose(self, peer: Peer, reason: str) -> None:
-        self._publish_lost(peer.name, peer.incarnation, reason)
+    def _report_down(self, link: Link) -> None:
+        # Membership takes the peer off the list of owners first, so that the calls
+        # that fail next are not sent to it again.
+        self._kernel.publish(LinkDown(instance=link.name, incarnation=link.incarnation))
+        self._report(link, link.lose(), "connection broke")
 
-    def _publish_lost(self, name: str, incarnation: int, reason: str) -> None:
+    def _report(self, link: Link, loss: Loss, reason: str) -> None:
+        self._publish_unsent(link, loss.unsent)
+        if not loss.news or self._stopping:
+            return
+        metrics.peers_lost_total.inc({"reason": reason})
         journal.record_event(
-            "peers.lost", peer=name, incarnation=incarnation, reason=reason
+            "peers.lost",
+            peer=link.name,
+            incarnation=loss.incarnation,
+            reason=reason,
+            unsent=len(loss.unsent),
         )
         self._kernel.publish(
-            PeerLost(instance=name, incarnation=incarnation, reason=reason)
+            PeerLost(instance=link.name, incarnation=loss.incarnation, reason=reason)
         )
 
+    def _publish_unsent(self, link: Link, messages: list) -> None:
+        if messages:
+            metrics.dropped_total.add({"reason": "not_sent"}, len(messages))
+            self._kernel.publish(MessagesNotSent(instance=link.name, messages=messages))
+
+    def _drop(self, reason: str, peer: str, detail: str = "") -> None:
+        self._drops.record(
+            reason=reason, step="peers.receive", peer=peer, detail=detail
+        )
+
+
+def list_updates(messages: list) -> list[MemberUpdate]:
+    """Returns the member updates that probe messages carry."""
+    return [
+        update
+        for message in messages
+        if isinstance(message, Probe | ProbeReply | ProbeRequest)
+        for update in message.updates
+    ]
+
+
+def describe_pipe(pipe: pynng.Pipe | None) -> str:
+    """Returns the host at the other end of a connection, as far as it is known."""
+    try:
+        # Without the port, so that one host's garbage counts as one source.
+        return str(pipe.remote_address).rpartition(":")[0] if pipe else ""
+    except pynng.NNGException:
+        return ""
+
 
 def create_incarnation(wall_ms: int) -> int:
     """Returns a number that rises from run to run of an instance."""
--- a/packages/gooseberrymux/src/gooseberrymux/records.py
+++ b/packages/gooseberrymux/src/gooseberrymux/records.py
@@ -29,6 +29,15 @@
     LEAVING = "leaving"
 
 
+class MemberState(enum.StrEnum):
+    """State of an instance in the member table."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    LEAVING = "leaving"
+    DEAD = "dead"
+
+
 @_frozen
 class InstanceIdentity:
     """One run of one instance.
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/senders.py
@@ -0,0 +1,139 @@
+"""Sender of one peer: takes the link's steps and carries them out on a pynng socket."""
+
+from collections.abc import Callable
+
+import pynng
+
+from gooseberrymux import journal
+from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, encode_envelope
+from gooseberrymux.drops import DropRecorder
+from gooseberrymux.kernel import Kernel
+from gooseberrymux.links import Close, Link, Loss, Redial, ReportDown, SendBatch
+from gooseberrymux.records import InstanceIdentity
+
+# A restarted peer is reached within the longer of these even if it sends nothing.
+RECONNECT_MIN_MS = 10
+RECONNECT_MAX_MS = 250
+# A blocked send looks for a broken connection this often.
+SEND_TIMEOUT_MS = 200
+# A peer whose connection takes no frame this long is lost.
+SEND_GIVE_UP_MS = 1_000
+# pynng drops what it has not yet written when a socket is closed.
+LINGER_MS = 50
+
+
+class Sender:
+    """Owns the socket to one peer; `run` is the body of its thread."""
+
+    __slots__ = (
+        "_kernel",
+        "_identity",
+        "_link",
+        "_drops",
+        "_report_down",
+        "_report_loss",
+        "_report_unsent",
+        "_count_sent",
+    )
+
+    def __init__(
+        self,
+        *,
+        kernel: Kernel,
+        identity: InstanceIdentity,
+        link: Link,
+        drops: DropRecorder,
+        report_down: Callable[[Link], None],
+        report_loss: Callable[[Link, Loss, str], None],
+        report_unsent: Callable[[Link, list], None],
+        count_sent: Callable[[int], None],
+    ):
+        self._kernel = kernel
+        self._identity = identity
+        self._link = link
+        self._drops = drops
+        self._report_down = report_down
+        self._report_loss = report_loss
+        self._report_unsent = report_unsent
+        self._count_sent = count_sent
+
+    def run(self) -> None:
+        """Sends until the link is closed."""
+        link = self._link
+        with pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+        ) as socket:
+            # pynng calls these in its own threads; they only set flags.
+            socket.add_post_pipe_connect_cb(lambda pipe: link.mark_up())
+            socket.add_post_pipe_remove_cb(lambda pipe: link.mark_down())
+            dialer = socket.dial(f"tcp://{link.address}", block=False)
+            while True:
+                match link.take():
+                    case SendBatch(messages=messages, incarnation=incarnation):
+                        self._send_batch(socket, messages, incarnation)
+                    case ReportDown():
+                        self._report_down(link)
+                    case Redial():
+                        dialer.close()
+                        dialer = socket.dial(f"tcp://{link.address}", block=False)
+                    case Close():
+                        self._kernel.clock.sleep_ms(LINGER_MS)
+                        return
+
+    def _send_batch(
+        self, socket: pynng.Push0, messages: list, incarnation: int
+    ) -> None:
+        frame = encode_envelope(
+            Envelope(
+                sender=self._identity.name,
+                sender_incarnation=self._identity.incarnation,
+                target=self._link.name if incarnation else "",
+                target_incarnation=incarnation,
+                messages=messages,
+            )
+        )
+        if len(frame) > FRAME_LIMIT_BYTES:
+            self._split_batch(socket, messages, incarnation)
+        elif self._send_frame(socket, frame):
+            self._count_sent(len(frame))
+        else:
+            self._report_unsent(self._link, messages)
+        if self._kernel.is_draining:
+            self._kernel.wake()
+
+    def _send_frame(self, socket: pynng.Push0, frame: bytes) -> bool:
+        """Returns whether pynng took the frame; if not, no byte of it was sent."""
+        until_ms = self._kernel.clock.now_ms() + SEND_GIVE_UP_MS
+        while not self._link.has_broken():
+            try:
+                socket.send(frame)
+                return True
+            except pynng.Timeout:
+                if self._kernel.clock.now_ms() >= until_ms:
+                    loss = self._link.lose(silent=True)
+                    self._report_loss(self._link, loss, "send timed out")
+                    return False
+            except pynng.NNGException as error:
+                journal.record_fault(
+                    step="peers.send", peer=self._link.name, error=error
+                )
+                return False
+        return False
+
+    def _split_batch(
+        self, socket: pynng.Push0, messages: list, incarnation: int
+    ) -> None:
+        if len(messages) == 1:
+            self._drops.record(
+                reason="oversized_message",
+                step="peers.send",
+                peer=self._link.name,
+                detail=type(messages[0]).__name__,
+            )
+            self._report_unsent(self._link, messages)
+            return
+        middle = len(messages) // 2
+        self._send_batch(socket, messages[:middle], incarnation)
+        self._send_batch(socket, messages[middle:], incarnation)
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -69,6 +69,7 @@
     caller_tokens: dict[str, str] = dataclasses.field(default_factory=dict)
     operator_tokens: dict[str, str] = dataclasses.field(default_factory=dict)
     drain_timeout_ms: int = 10_000
+    settle_ms: int = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -1,7 +1,10 @@
 """HTTP plumbing that both APIs share: cheroot server, JSON bodies, typed errors."""
 
+import contextlib
 import dataclasses
 import json
+import socket
+import threading
 from collections.abc import Callable, Iterable
 
 import cheroot.wsgi
@@ -12,6 +15,7 @@
 
 SHUTDOWN_TIMEOUT_S = 5
 REQUEST_QUEUE_SIZE = 256
+STOP_TOUCH_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -76,6 +80,22 @@
     )
 
 
+def stop_server(server: cheroot.wsgi.Server) -> None:
+    """Finishes the requests in flight and closes the listener.
+
+    cheroot notices a stop only when its select call returns, which takes up to half a
+    second without traffic; connections to the own port make it return at once.
+    """
+    address = server.bind_addr
+    stopping = threading.Thread(target=server.stop, name="web.stop", daemon=True)
+    stopping.start()
+    while stopping.is_alive() and server.socket is not None:
+        with contextlib.suppress(OSError):
+            socket.create_connection(address, timeout=STOP_TOUCH_S).close()
+        stopping.join(STOP_TOUCH_S)
+    stopping.join(SHUTDOWN_TIMEOUT_S)
+
+
 def handle_safely(request: Request, handle: Callable[[Request], Response]) -> Response:
     """Turns an unexpected exception into a logged 500."""
     try:
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,82 @@
+"""State of one link, without sockets."""
+
+from gooseberrymux.clock import ManualClock
+from gooseberrymux.links import Link, Redial, ReportDown, SendBatch
+from gooseberrymux.settings import Address
+
+
+def create_link(*, up=True, incarnation=1):
+    link = Link(name="peer", address=Address(port=1), clock=ManualClock())
+    if incarnation:
+        link.restart(incarnation)
+    if up:
+        link.mark_up()
+    return link
+
+
+def put(link, message, *, awaited=False, despite_loss=False):
+    return link.put(message, awaited=awaited, despite_loss=despite_loss)
+
+
+def test_loss_names_what_was_queued_and_is_news_once():
+    link = create_link()
+    put(link, "a")
+    link.mark_down()
+    assert link.take() == ReportDown()
+    loss = link.lose()
+    assert (loss.unsent, loss.news, loss.incarnation) == (["a"], True, 1)
+    assert link.lose().news is False
+
+
+def test_lost_link_takes_only_probes_and_recovers_when_heard():
+    # Guards against calls that are queued for a frozen peer.
+    link = create_link()
+    link.lose(silent=True)
+    assert put(link, "call") is not None
+    assert put(link, "probe", despite_loss=True) is None
+    link.mark_heard()
+    assert put(link, "call") is None
+
+
+def test_link_that_broke_refuses_probes_too():
+    link = create_link()
+    link.mark_down()
+    link.take()
+    link.lose()
+    assert put(link, "probe", despite_loss=True) is not None
+
+
+def test_restart_drops_what_was_queued_for_the_earlier_run():
+    link = create_link()
+    put(link, "for run 1")
+    loss = link.restart(2)
+    assert loss.unsent == ["for run 1"]
+    assert loss.incarnation == 1
+    put(link, "for run 2")
+    assert link.take() == SendBatch(messages=["for run 2"], incarnation=2)
+
+
+def test_messages_before_the_first_contact_survive_it():
+    link = create_link(incarnation=0)
+    put(link, "first")
+    assert link.restart(5) is None
+    assert link.take() == SendBatch(messages=["first"], incarnation=5)
+
+
+def test_peer_that_is_heard_before_the_link_is_up_is_redialled():
+    clock = ManualClock()
+    link = Link(name="peer", address=Address(port=1), clock=clock)
+    put(link, "first")
+    clock.advance(100)
+    link.mark_heard()
+    assert link.take() == Redial()
+
+
+def test_awaited_answers_are_counted():
+    link = create_link()
+    put(link, "request", awaited=True)
+    put(link, "request", awaited=True)
+    link.mark_answered()
+    assert link.awaited == 1
+    link.lose()
+    assert link.awaited == 0
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,139 @@
+"""The member table: which belief prevails, whatever the order of updates."""
+
+import dataclasses
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gooseberrymux.members import UPDATES_LIMIT, MemberTable
+from gooseberrymux.messages import MemberUpdate
+from gooseberrymux.records import InstanceRecord, MemberState
+
+NAMES = ["a", "b", "c"]
+
+
+def create_update(name="a", *, incarnation=1, sequence=0, state="alive", port=1):
+    return MemberUpdate(
+        instance=name,
+        incarnation=incarnation,
+        sequence=sequence,
+        state=MemberState(state),
+        host="127.0.0.1",
+        port=port,
+        failure_domain="domain-a",
+    )
+
+
+def create_table(*updates):
+    table = MemberTable(own=create_update("own", incarnation=9), seed=1)
+    for update in updates:
+        table.merge(update, now_ms=0)
+    return table
+
+
+def create_listed(name="a", *, leaving=False, port=1):
+    return InstanceRecord(
+        name=name,
+        host="127.0.0.1",
+        peer_port=port,
+        failure_domain="domain-a",
+        leaving=leaving,
+    )
+
+
+updates = st.builds(
+    create_update,
+    st.sampled_from(NAMES),
+    incarnation=st.integers(1, 3),
+    sequence=st.integers(0, 3),
+    state=st.sampled_from(list(MemberState)),
+    port=st.integers(1, 2),
+)
+
+
+def live_names(table):
+    return {record.name for record in table.list_live()} - {"own"}
+
+
+@given(st.lists(updates, max_size=12), st.randoms())
+def test_order_and_repetition_of_updates_do_not_matter(given_updates, random):
+    shuffled = given_updates + given_updates[: len(given_updates) // 2]
+    random.shuffle(shuffled)
+    one, two = create_table(*given_updates), create_table(*shuffled)
+    assert set(one.list_all()) == set(two.list_all())
+
+
+@given(st.lists(updates, max_size=12), st.lists(st.sampled_from(NAMES), max_size=6))
+def test_platform_list_neither_revives_nor_hides(given_updates, listed):
+    # Guards against a lagging list that hands upstreams to a dead instance.
+    table = create_table(*given_updates)
+    before = set(table.list_all())
+    live = live_names(table)
+    for number, name in enumerate(listed):
+        table.hint(create_listed(name, leaving=bool(number % 2)))
+    assert before <= set(table.list_all())
+    assert live_names(table) == live
+
+
+@given(st.lists(updates, max_size=12))
+def test_live_members_are_exactly_those_last_believed_alive(given_updates):
+    table = create_table(*given_updates)
+    assert live_names(table) == {
+        update.instance
+        for update in table.list_all()
+        if update.state is MemberState.ALIVE and update.instance != "own"
+    }
+
+
+@given(st.sampled_from(["suspect", "dead", "leaving"]), st.integers(0, 5))
+def test_member_outbids_what_is_said_of_it(state, sequence):
+    # Guards against a live member that stays out of work for a false accusation.
+    table = create_table()
+    accusation = create_update(
+        "own", incarnation=9, sequence=sequence, state=state, port=1
+    )
+    assert table.refute(accusation)
+    witness = create_table(
+        dataclasses.replace(accusation, instance="a"),
+        dataclasses.replace(table.own, instance="a"),
+    )
+    assert live_names(witness) == {"a"}
+
+
+def test_accusation_of_an_earlier_run_is_not_refuted():
+    table = create_table()
+    earlier = create_update("own", incarnation=8, state="dead")
+    assert not table.refute(earlier)
+
+
+def test_suspect_is_condemned_only_after_its_time():
+    table = create_table(create_update("a"))
+    assert table.accuse("a", now_ms=100)
+    assert table.condemn(before_ms=99) == []
+    assert [update.state for update in table.condemn(before_ms=100)] == ["dead"]
+    assert table.condemn(before_ms=1_000) == []
+
+
+def test_silent_leaving_member_is_condemned_too():
+    # Guards against a member that said it leaves and then died in the table for ever.
+    table = create_table(create_update("a", state="leaving"))
+    assert not table.accuse("a", now_ms=0)
+    assert [update.state for update in table.condemn(before_ms=0)] == ["dead"]
+
+
+def test_updates_on_a_probe_stay_bounded_and_news_spreads():
+    # Guards against probes that grow with the fleet.
+    table = create_table(*(create_update(f"m{number}") for number in range(500)))
+    told = set()
+    for _ in range(2_000):
+        picked = table.pick_updates(target="m0")
+        assert len(picked) <= UPDATES_LIMIT
+        assert picked[0].instance == "own"
+        told.update(update.instance for update in picked)
+    assert len(told) == 501
+
+
+def test_accused_member_is_told_so_on_each_probe():
+    table = create_table(create_update("a", state="suspect"))
+    for _ in range(100):
+        assert create_update("a", state="suspect") in table.pick_updates(target="a")
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,154 @@
+"""Membership over real sockets."""
+
+import pynng
+
+from gooseberrymux.codec import Envelope, encode_envelope
+from gooseberrymux.membership import MemberChanged
+from gooseberrymux.messages import MemberUpdate, Probe, Subrequest
+from gooseberrymux.records import InstanceIdentity, InstanceRecord, MemberState, Rank
+from support import Node, running, wait_for
+
+FAST = {"probe_period_ms": 50, "probe_timeout_ms": 100, "suspect_ms": 200}
+
+
+def create_fleet(count):
+    first = Node("node-0", membership=FAST)
+    seeds = [{"port": first.address.port}]
+    return [
+        first,
+        *(
+            Node(f"node-{number}", membership={**FAST, "seeds": seeds})
+            for number in range(1, count)
+        ),
+    ]
+
+
+def create_record(node, *, name=None):
+    return InstanceRecord(
+        name=name or node.settings.instance.name,
+        host=node.address.host,
+        peer_port=node.address.port,
+        failure_domain="domain-a",
+    )
+
+
+def test_members_find_each_other_by_one_seed_and_drop_a_dead_one():
+    nodes = create_fleet(4)
+    everyone = [node.settings.instance.name for node in nodes]
+    changes = []
+    nodes[0].kernel.subscribe(MemberChanged, changes.append)
+    with running(*nodes[:3]):
+        with running(nodes[3]):
+            wait_for(
+                lambda: all(node.live() == everyone for node in nodes), "full tables"
+            )
+        wait_for(
+            lambda: all(node.state_of("node-3") == "dead" for node in nodes[:3]),
+            "the dead one in every table",
+        )
+        assert all(node.live() == everyone[:3] for node in nodes[:3])
+        # The platform's list still names it.
+        nodes[0].membership.learn(create_record(nodes[3]))
+        assert nodes[0].live() == everyone[:3]
+    states = [event.state for event in changes if event.instance == "node-3"]
+    assert states == ["alive", "suspect", "dead"]
+    assert [loss.instance for loss in nodes[0].lost].count("node-3") == 1
+
+
+def test_restarted_member_is_live_again_in_its_new_run():
+    nodes = create_fleet(2)
+    with running(nodes[0]):
+        with running(nodes[1]):
+            wait_for(lambda: len(nodes[0].live()) == 2, "both")
+        wait_for(lambda: nodes[0].state_of("node-1") == "dead", "its death")
+        again = Node(
+            "node-1",
+            port=nodes[1].address.port,
+            membership={**FAST, "seeds": [{"port": nodes[0].address.port}]},
+        )
+        with running(again):
+            wait_for(lambda: len(nodes[0].live()) == 2, "its new run")
+
+
+def test_falsely_accused_member_refutes():
+    nodes = create_fleet(2)
+    with running(*nodes):
+        wait_for(lambda: all(len(node.live()) == 2 for node in nodes), "both")
+        accused = next(
+            member
+            for member in nodes[0].membership.list_members()
+            if member.instance == "node-1"
+        )
+        accusation = MemberUpdate(
+            instance="node-1",
+            incarnation=accused.incarnation,
+            sequence=accused.sequence,
+            state=MemberState.DEAD,
+            host=accused.host,
+            port=accused.port,
+            failure_domain=accused.failure_domain,
+        )
+        nodes[0].membership.take_updates(
+            [accusation], sender=InstanceIdentity(name="gossip", incarnation=1)
+        )
+        assert nodes[0].live() == ["node-0"]
+        wait_for(lambda: len(nodes[0].live()) == 2, "the refutation")
+
+
+def test_member_that_only_the_list_names_owns_nothing():
+    # Guards against work queued at an instance that the lagging list still names.
+    node, absent = Node("node-0", membership=FAST), Node("node-1")
+    with running(node):
+        node.membership.learn(create_record(absent))
+        assert node.live() == ["node-0"]
+        wait_for(lambda: node.state_of("node-1") == "dead", "its death")
+
+
+def test_planned_stop_is_told_to_peers_before_the_links_close():
+    nodes = create_fleet(2)
+    with running(*nodes):
+        wait_for(lambda: all(len(node.live()) == 2 for node in nodes), "both")
+        nodes[1].kernel.drain(nodes[1].kernel.clock.now_ms() + 1_000)
+        wait_for(lambda: nodes[0].state_of("node-1") == "leaving", "the notice")
+        assert nodes[0].live() == ["node-0"]
+
+
+def test_peer_that_owes_an_answer_and_falls_silent_is_given_up():
+    # A listener that takes frames and never answers stands in for a frozen peer.
+    node = Node("node-0", membership={**FAST, "probe_period_ms": 60_000})
+    silent = Node("node-1")
+    with running(node), pynng.Pull0(listen=f"tcp://{silent.address}"):
+        update = MemberUpdate(
+            instance="node-1",
+            incarnation=7,
+            state=MemberState.ALIVE,
+            host=silent.address.host,
+            port=silent.address.port,
+            failure_domain="domain-a",
+        )
+        node.membership.take_updates(
+            [update], sender=InstanceIdentity(name="node-1", incarnation=7)
+        )
+        with pynng.Push0(dial=f"tcp://{node.address}") as raw:
+            raw.send(
+                encode_envelope(
+                    Envelope(
+                        sender="node-1",
+                        sender_incarnation=7,
+                        target="node-0",
+                        target_incarnation=0,
+                        messages=[Probe(sequence=1, updates=[update])],
+                    )
+                )
+            )
+            wait_for(lambda: node.peers.get_incarnation("node-1") == 7, "its run")
+        assert not node.lost
+        node.peers.send(
+            "node-1",
+            Subrequest(
+                id="s", request_id="q", upstream="u", rank=Rank.URGENT, remaining_ms=1
+            ),
+        )
+        wait_for(lambda: node.lost, "the loss")
+        assert node.live() == ["node-0"]
+        assert [loss.reason for loss in node.lost] == ["no answer to probes"]
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,192 @@
+"""Links over real sockets: losses, restarts, frames that don't belong here."""
+
+import pynng
+import pytest
+
+from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, encode_envelope
+from gooseberrymux.messages import CancelSubrequest, MemberUpdate, Probe
+from gooseberrymux.peers import MessagesNotSent
+from gooseberrymux.records import MemberState
+from support import Node, running, wait_for
+
+PEERS_ONLY = ("peers",)
+
+
+@pytest.fixture
+def pair():
+    one = Node("one", services=PEERS_ONLY)
+    two = Node("two", services=PEERS_ONLY)
+    one.connect(two)
+    two.connect(one)
+    for node in (one, two):
+        node.peers.register(CancelSubrequest, node.record)
+    return one, two
+
+
+def exchange_one(one, two):
+    """Lets both sides learn the other's run."""
+    two.peers.send("one", CancelSubrequest(id="hello"))
+    one.peers.send("two", CancelSubrequest(id="hello"))
+    wait_for(lambda: one.received and two.received, "first messages")
+
+
+def test_message_queued_before_the_peer_listens_arrives(pair):
+    one, two = pair
+    with running(one):
+        assert one.peers.send("two", CancelSubrequest(id="early")).is_ok()
+        with running(two):
+            wait_for(lambda: two.received, "the early message")
+
+
+def test_dead_peer_is_reported_once_and_then_refused(pair):
+    # Guards against calls that wait for their deadline at a peer that is gone, and
+    # against a second report that fails calls made since.
+    one, two = pair
+    with running(one):
+        with running(two):
+            exchange_one(one, two)
+        wait_for(lambda: one.lost, "the loss")
+        assert one.peers.send("two", CancelSubrequest(id="late")).is_err()
+        one.peers.lose(
+            name="two", incarnation=two.peers.identity.incarnation, reason="again"
+        )
+    assert [event.incarnation for event in one.lost] == [two.peers.identity.incarnation]
+
+
+def test_restarted_peer_gets_no_message_for_its_earlier_run(pair):
+    # Guards against work for an earlier run being taken up by the next one.
+    one, two = pair
+    with running(one):
+        with running(two):
+            exchange_one(one, two)
+        wait_for(lambda: one.lost, "the loss")
+        again = Node("two", services=PEERS_ONLY, port=two.address.port)
+        again.connect(one)
+        again.peers.register(CancelSubrequest, again.record)
+        with running(again):
+            again.peers.send("one", CancelSubrequest(id="new run"))
+            wait_for(lambda: len(one.received) == 2, "a message of the new run")
+            assert one.peers.get_incarnation("two") == again.peers.identity.incarnation
+            one.peers.send("two", CancelSubrequest(id="after"))
+            wait_for(lambda: again.received, "a message for the new run")
+            assert [message.id for _, message in again.received] == ["after"]
+            assert len(one.lost) == 1
+
+
+@pytest.mark.parametrize("peer_reset", [True, False])
+def test_envelope_for_another_run_is_dropped_and_answered(peer_reset):
+    one = Node("one", services=PEERS_ONLY, policy={"peer_reset": peer_reset})
+    two = Node("two", services=PEERS_ONLY)
+    one.connect(two)
+    two.connect(one)
+    one.peers.register(CancelSubrequest, one.record)
+    two.peers.register(CancelSubrequest, two.record)
+    own = one.peers.identity.incarnation
+    with running(one, two):
+        one.peers.send("two", CancelSubrequest(id="hello"))
+        wait_for(lambda: two.received, "the run of one")
+        with pynng.Push0(dial=f"tcp://{one.address}") as raw:
+            run = two.peers.identity.incarnation
+            raw.send(create_frame(run=run, target_incarnation=own - 1))
+            raw.send(create_frame(run=run, target_incarnation=own))
+            wait_for(lambda: one.received, "the envelope for this run")
+        assert len(one.received) == 1
+        assert one.peers.describe()["dropped"] == {"other_incarnation": 1}
+        # The answer, if any, is ahead of this message on the same link.
+        one.peers.send("two", CancelSubrequest(id="marker"))
+        wait_for(lambda: len(two.received) == 2, "the marker")
+        assert two.peers.resets == (1 if peer_reset else 0)
+
+
+def create_frame(
+    *, sender="two", run=1, target="one", target_incarnation=0, messages=None
+):
+    return encode_envelope(
+        Envelope(
+            sender=sender,
+            sender_incarnation=run,
+            target=target,
+            target_incarnation=target_incarnation,
+            messages=messages or [CancelSubrequest(id="x")],
+        )
+    )
+
+
+BAD_FRAMES = {
+    "undecodable_frame": [
+        b"",
+        b"\xc1garbage",
+        create_frame()[:-3],
+        create_frame() + b"\x00",
+        b"x" * (FRAME_LIMIT_BYTES + 1),
+    ],
+    "other_target": [create_frame(target="three")],
+    "own_name": [create_frame(sender="one")],
+    "unknown_sender": [create_frame(sender="stranger")],
+}
+
+
+@pytest.mark.parametrize("reason", BAD_FRAMES)
+def test_bad_frames_are_dropped_counted_and_logged_once(pair, reason, monkeypatch):
+    # Guards against a stranger that stops the listener or fills the log.
+    one, two = pair
+    lines = []
+    monkeypatch.setattr(
+        "gooseberrymux.journal.record_event",
+        lambda event, **fields: lines.append((event, fields)),
+    )
+    frames = BAD_FRAMES[reason] * 3
+    with running(one, two):
+        with pynng.Push0(dial=f"tcp://{one.address}") as raw:
+            for frame in frames:
+                raw.send(frame)
+            wait_for(
+                lambda: one.peers.describe()["dropped"].get(reason) == len(frames),
+                "all frames counted",
+            )
+        exchange_one(one, two)
+    logged = [fields for event, fields in lines if event == "peers.dropped"]
+    assert [fields["reason"] for fields in logged] == [reason]
+    assert logged[0]["step"] == "peers.receive"
+    assert one.kernel.failure is None
+
+
+def test_frame_beyond_the_transport_limit_leaves_other_links_up(pair):
+    one, two = pair
+    with running(one, two):
+        with pynng.Push0(dial=f"tcp://{one.address}") as raw:
+            raw.send(b"x" * (3 * FRAME_LIMIT_BYTES))
+            exchange_one(one, two)
+    assert one.kernel.failure is None
+
+
+def test_oversized_message_is_reported_as_not_sent(pair):
+    # Guards against a frame that the receiver would refuse as a whole.
+    one, two = pair
+    unsent = []
+    one.kernel.subscribe(MessagesNotSent, unsent.append)
+    with running(one, two):
+        one.peers.send("two", CancelSubrequest(id="x" * (FRAME_LIMIT_BYTES + 1)))
+        one.peers.send("two", CancelSubrequest(id="small"))
+        wait_for(lambda: two.received, "the small message")
+    assert [message.id for _, message in two.received] == ["small"]
+    assert len(unsent) == 1
+
+
+def test_unknown_sender_is_learned_from_its_first_probe(pair):
+    one, _ = pair
+    one.peers.register(Probe, one.record)
+    update = MemberUpdate(
+        instance="new",
+        incarnation=1,
+        state=MemberState.ALIVE,
+        host="127.0.0.1",
+        port=1,
+        failure_domain="domain-a",
+    )
+    frame = create_frame(sender="new", messages=[Probe(sequence=1, updates=[update])])
+    with running(one):
+        with pynng.Push0(dial=f"tcp://{one.address}") as raw:
+            raw.send(frame)
+            wait_for(lambda: one.received, "the probe of an unknown sender")
+        assert "new" in one.peers.list_connected()
