Stop instances gracefully; hand back queued work; show it with failure tests

Cause: a stop refused callers before the balancer could notice, told no peer, threw queued sub-requests of other entries away with their links, and took over a second when idle because cheroot's select and the threads in platform watches were waited for. A signal handler could also run while the main thread held a lock.

The kernel publishes LeaveStarted before anything drains: health says leaving, peers get a leaving member update, dispatch hands back what other entries queued. The API serves for settle_ms, then refuses with 503 not_run and waits for requests in progress; dispatch waits for its exchanges, peers for their queues. Signals arrive as bytes on a socket, so no code is interrupted; the second one, or the deadline, ends the process with code 1.

A peer that was never heard was reported lost during its start; now only work queued for it makes that a loss.

--- a/packages/gooseberrymux/src/gooseberrymux/departures.py
+++ b/packages/gooseberrymux/src/gooseberrymux/departures.py
@@ -266,9 +266,9 @@
     def _merge(self, notice: LeavingNotice, *, teller: str) -> None:
         epoch = self._epochs.get(notice.upstream, notice.epoch)
         with self._changed:
-            before = self._table.is_leaving(notice.upstream, epoch)
+            before = self.is_leaving(notice.upstream, epoch)
             changed = self._table.merge(notice)
-            after = self._table.is_leaving(notice.upstream, epoch)
+            after = self.is_leaving(notice.upstream, epoch)
             merged = self._table.get(notice.upstream)
         if not changed or merged is None:
             return
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -139,7 +139,7 @@
         self._up = False
         self._down = False
         self._lost = False
-        self._exposed = True
+        self._exposed = False
         self._redial = False
         self._redialled_ms = clock.now_ms()
         self._sending = False
--- a/packages/gooseberrymux/src/gooseberrymux/main.py
+++ b/packages/gooseberrymux/src/gooseberrymux/main.py
@@ -2,6 +2,7 @@
 
 import os
 import signal
+import socket
 import sys
 from pathlib import Path
 from typing import Annotated
@@ -18,6 +19,7 @@
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+SIGNALS_READ = 16
 
 app = typer.Typer(help="One entry instance of gooseberrymux.", no_args_is_help=True)
 SettingsOption = Annotated[
@@ -58,10 +60,8 @@
     """
     clock = Clock()
     kernel = Kernel(settings=settings, clock=clock)
-    # Threads inherit the mask, so that only the waiting thread takes the signals and
-    # none interrupts code that holds a lock.
-    signal.pthread_sigmask(signal.SIG_BLOCK, STOP_SIGNALS)
-    kernel.spawn(name="main.signals", target=lambda: forward_signals(kernel))
+    signals = open_signals()
+    kernel.spawn(name="main.signals", target=lambda: forward_signals(kernel, signals))
     kernel.load(tuple(settings.services))
     kernel.start()
     journal.record_event("instance.started", name=settings.instance.name)
@@ -78,12 +78,29 @@
     return kernel.failure
 
 
-def forward_signals(kernel: Kernel) -> None:
+def open_signals() -> socket.socket:
+    """Returns a socket that receives the number of each signal as a byte.
+
+    The byte is written whichever thread the system interrupts, and no code that holds
+    a lock is interrupted by a Python handler that needs the same lock.
+    """
+    reader, writer = socket.socketpair()
+    writer.setblocking(False)
+    # Detached, so that it stays open for the life of the process.
+    signal.set_wakeup_fd(writer.detach(), warn_on_full_buffer=False)
+    for number in STOP_SIGNALS:
+        signal.signal(number, lambda number, frame: None)
+    return reader
+
+
+def forward_signals(kernel: Kernel, signals: socket.socket) -> None:
     """Turns each stop signal into a stop request."""
-    while True:
-        number = signal.sigwait(STOP_SIGNALS)
-        journal.record_event("instance.signal", name=signal.Signals(number).name)
-        kernel.request_stop()
+    while numbers := signals.recv(SIGNALS_READ):
+        for number in numbers:
+            if number in STOP_SIGNALS:
+                name = signal.Signals(number).name
+                journal.record_event("instance.signal", name=name)
+                kernel.request_stop()
 
 
 if __name__ == "__main__":
--- a/packages/gooseberrymux/src/gooseberrymux/members.py
+++ b/packages/gooseberrymux/src/gooseberrymux/members.py
@@ -11,6 +11,9 @@
 
 # Bounds the updates on a probe, so that its size does not grow with the fleet.
 UPDATES_LIMIT = 8
+# Of these, members picked at random, so that a newcomer learns the whole fleet over
+# time even while the platform's list is unavailable.
+RANDOM_UPDATES = 2
 # An update rides on this many probes for each doubling of the fleet, which reaches all
 # members with high probability.
 SPREAD_FACTOR = 3
@@ -61,11 +64,12 @@
 class MemberTable:
     """All members by name, this instance included. Not thread-safe."""
 
-    __slots__ = ("own_name", "_members", "_random")
+    __slots__ = ("own_name", "_members", "_news", "_random")
 
     def __init__(self, *, own: MemberUpdate, seed: int):
         self.own_name = own.instance
         self._members = {own.instance: Member(update=own)}
+        self._news: set[str] = set()
         self._random = random.Random(seed)
 
     @property
@@ -111,7 +115,7 @@
         member.update = update
         suspected = update.state is MemberState.SUSPECT
         member.silent_since_ms = now_ms if suspected else None
-        member.spreads_left = self._count_spreads()
+        self._mark_news(member)
         return True
 
     def refute(self, update: MemberUpdate) -> bool:
@@ -204,29 +208,27 @@
     def forget(self, name: str) -> None:
         """Removes a member."""
         self._members.pop(name, None)
+        self._news.discard(name)
 
     def pick_updates(self, *, target: str) -> list[MemberUpdate]:
         """Returns the updates for one probe: at most `UPDATES_LIMIT`.
 
         The first is this instance's own. A target that is not believed alive learns
-        that, so that it can refute it. News goes before a few members at random,
-        which lets a newcomer learn the whole fleet over time.
+        that, so that it can refute it. News goes before members at random.
         """
         chosen = {self.own_name: self.own}
         accused = self.get(target)
         if accused and accused.state is not MemberState.ALIVE and accused.incarnation:
             chosen[target] = accused
-        news = sorted(
-            (member for member in self._members.values() if member.spreads_left > 0),
-            key=lambda member: member.spreads_left,
-            reverse=True,
-        )
-        for member in news[: UPDATES_LIMIT - len(chosen)]:
+        news = sorted(self._news, key=self._count_spreads_left, reverse=True)
+        for name in news[: UPDATES_LIMIT - len(chosen)]:
+            member = self._members[name]
             member.spreads_left -= 1
-            chosen[member.update.instance] = member.update
-        room = UPDATES_LIMIT - len(chosen)
-        others = list(self._members)
-        for name in self._random.sample(others, min(room, len(others))):
+            if member.spreads_left <= 0:
+                self._news.discard(name)
+            chosen[name] = member.update
+        room = min(RANDOM_UPDATES, UPDATES_LIMIT - len(chosen), len(self._members))
+        for name in self._random.sample(list(self._members), room):
             update = self._members[name].update
             if update.incarnation:
                 chosen.setdefault(name, update)
@@ -234,13 +236,17 @@
 
     def _change_state(self, member: Member, state: MemberState) -> None:
         member.update = dataclasses.replace(member.update, state=state)
-        member.spreads_left = self._count_spreads()
+        self._mark_news(member)
 
     def _set_own(self, update: MemberUpdate) -> None:
         self._members[self.own_name].update = update
 
-    def _count_spreads(self) -> int:
-        return SPREAD_FACTOR * len(self._members).bit_length()
+    def _mark_news(self, member: Member) -> None:
+        member.spreads_left = SPREAD_FACTOR * len(self._members).bit_length()
+        self._news.add(member.update.instance)
+
+    def _count_spreads_left(self, name: str) -> tuple[int, str]:
+        return self._members[name].spreads_left, name
 
 
 def create_record(update: MemberUpdate) -> InstanceRecord:
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -21,6 +21,7 @@
 from gooseberrymux.messages import (
     ANSWER_TYPES,
     AWAITED_TYPES,
+    CancelSubrequest,
     IncarnationMismatch,
     MemberUpdate,
     Probe,
@@ -43,7 +44,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LinkDown:
-    """The connection to a peer broke; published before what was lost with it."""
+    """A peer can't be reached on its link; published before what was lost with it."""
 
     instance: str
     incarnation: int
@@ -158,7 +159,6 @@
             link=link,
             drops=self._drops,
             report_down=self._report_down,
-            report_loss=self._report,
             report_unsent=self._publish_unsent,
             count_sent=self._count_sent,
         )
@@ -212,7 +212,7 @@
         Args:
             name: The peer.
             message: The message.
-            despite_loss: Sends on a link whose peer is lost too; for probes only.
+            despite_loss: Sends also on a standing link whose peer is lost; for probes.
 
         Returns:
             Err if there is no link, the peer is lost or its queue is full; the
@@ -226,7 +226,8 @@
         refused = link.put(
             message,
             awaited=isinstance(message, AWAITED_TYPES),
-            despite_loss=despite_loss,
+            # A frozen peer that wakes up finds the cancel behind the request.
+            despite_loss=despite_loss or isinstance(message, CancelSubrequest),
         )
         if refused:
             self._drops.record(reason="not_sent", step="peers.send", peer=name)
@@ -370,11 +371,11 @@
             current=message.current,
         )
 
-    def _report_down(self, link: Link) -> None:
+    def _report_down(self, link: Link, reason: str, *, silent: bool = False) -> None:
         # Membership takes the peer off the list of owners first, so that the calls
         # that fail next are not sent to it again.
         self._kernel.publish(LinkDown(instance=link.name, incarnation=link.incarnation))
-        self._report(link, link.lose(), "connection broke")
+        self._report(link, link.lose(silent=silent), reason)
 
     def _report(self, link: Link, loss: Loss, reason: str) -> None:
         self._publish_unsent(link, loss.unsent)
--- a/packages/gooseberrymux/src/gooseberrymux/senders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/senders.py
@@ -8,12 +8,13 @@
 from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, encode_envelope
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.links import Close, Link, Loss, Redial, ReportDown, SendBatch
+from gooseberrymux.links import Close, Link, Redial, ReportDown, SendBatch
 from gooseberrymux.records import InstanceIdentity
 
-# A restarted peer is reached within the longer of these even if it sends nothing.
+# A peer that is heard is dialled at once; this is the back-off for the others, among
+# them the dead, of which a partition may leave many.
 RECONNECT_MIN_MS = 10
-RECONNECT_MAX_MS = 250
+RECONNECT_MAX_MS = 1_000
 # A blocked send looks for a broken connection this often.
 SEND_TIMEOUT_MS = 200
 # A peer whose connection takes no frame this long is lost.
@@ -21,6 +22,9 @@
 # pynng drops what it has not yet written when a socket is closed.
 LINGER_MS = 50
 
+REASON_BROKE = "connection broke"
+REASON_BLOCKED = "send timed out"
+
 
 class Sender:
     """Owns the socket to one peer; `run` is the body of its thread."""
@@ -31,7 +35,6 @@
         "_link",
         "_drops",
         "_report_down",
-        "_report_loss",
         "_report_unsent",
         "_count_sent",
     )
@@ -43,8 +46,7 @@
         identity: InstanceIdentity,
         link: Link,
         drops: DropRecorder,
-        report_down: Callable[[Link], None],
-        report_loss: Callable[[Link, Loss, str], None],
+        report_down: Callable[..., None],
         report_unsent: Callable[[Link, list], None],
         count_sent: Callable[[int], None],
     ):
@@ -53,7 +55,6 @@
         self._link = link
         self._drops = drops
         self._report_down = report_down
-        self._report_loss = report_loss
         self._report_unsent = report_unsent
         self._count_sent = count_sent
 
@@ -74,7 +75,7 @@
                     case SendBatch(messages=messages, incarnation=incarnation):
                         self._send_batch(socket, messages, incarnation)
                     case ReportDown():
-                        self._report_down(link)
+                        self._report_down(link, REASON_BROKE)
                     case Redial():
                         dialer.close()
                         dialer = socket.dial(f"tcp://{link.address}", block=False)
@@ -112,8 +113,7 @@
                 return True
             except pynng.Timeout:
                 if self._kernel.clock.now_ms() >= until_ms:
-                    loss = self._link.lose(silent=True)
-                    self._report_loss(self._link, loss, "send timed out")
+                    self._report_down(self._link, REASON_BLOCKED, silent=True)
                     return False
             except pynng.NNGException as error:
                 journal.record_fault(
--- a/tests/support.py
+++ b/tests/support.py
@@ -10,9 +10,17 @@
 from gooseberrymux.membership import Membership
 from gooseberrymux.peers import PeerLost, Peers
 from gooseberrymux.settings import parse_settings
-from gooseberrystand.fleet import HOST, find_free_port
+from gooseberrystand.processes import Port
+from gooseberrystand.server import HOST
 
 WAIT_S = 8
+_ports = []
+
+
+def find_free_port():
+    """Returns a port that stays reserved until the test run ends."""
+    _ports.append(Port())
+    return _ports[-1].number
 
 
 def create_settings(name, *, port=None, **sections):
--- /dev/null
+++ b/tests/test_kernel.py
@@ -0,0 +1,53 @@
+"""The kernel's drain: order, what cuts it short."""
+
+from gooseberrymux.clock import ManualClock
+from gooseberrymux.kernel import Kernel, LeaveStarted
+from support import create_settings
+
+
+class FakeService:
+    def __init__(self, name, calls):
+        self.name = name
+        self.calls = calls
+
+    def drain(self, deadline_ms):
+        self.calls.append(self.name)
+
+
+def create_kernel():
+    return Kernel(settings=create_settings("one"), clock=ManualClock())
+
+
+def test_leave_is_announced_before_anything_drains_and_links_drain_last():
+    kernel, calls = create_kernel(), []
+    kernel.subscribe(LeaveStarted, lambda event: calls.append("announced"))
+    kernel.add("peers", FakeService("peers", calls))
+    kernel.add("api", FakeService("api", calls))
+    assert kernel.drain(1_000)
+    assert calls == ["announced", "api", "peers"]
+
+
+def test_drain_that_passed_its_deadline_is_reported():
+    kernel = create_kernel()
+    kernel.clock.advance(1_000)
+    assert kernel.wait_until(lambda: False, 1_000) is False
+    assert kernel.drain(1_000) is False
+
+
+def test_second_stop_request_ends_the_wait():
+    kernel = create_kernel()
+    kernel.request_stop()
+    assert kernel.wait_for_end() is None
+    kernel.request_stop()
+    assert kernel.wait_until(lambda: False, 1_000) is False
+    assert kernel.drain(1_000) is False
+
+
+def test_thread_that_ends_by_an_exception_fails_the_instance():
+    kernel = create_kernel()
+
+    def fail():
+        raise ValueError("boom")
+
+    kernel.spawn(name="doomed", target=fail).join()
+    assert "doomed" in kernel.wait_for_end()
--- /dev/null
+++ b/tests/test_leaving_upstreams.py
@@ -0,0 +1,214 @@
+"""What becomes of work for an upstream that is leaving, with real links and HTTP."""
+
+import threading
+
+import pytest
+
+from gooseberrymux import web
+from gooseberrymux.configuration import Group
+from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
+from gooseberrymux.dispatch import (
+    REASON_DRAINING,
+    REASON_LEAVING,
+    REASON_UPSTREAM_LEAVING,
+    Dispatch,
+)
+from gooseberrymux.documents import DocumentChanged
+from gooseberrymux.inventory import INVENTORY_NAME, Inventory
+from gooseberrymux.kernel import Kernel, LeaveStarted
+from gooseberrymux.messages import Subrequest, SubrequestCompleted, SubrequestNotRun
+from gooseberrymux.records import Rank
+from gooseberrymux.settings import Address
+from support import Node, find_free_port, running, wait_for
+
+GROUPS = (Group(name="all", index="all", match={}),)
+
+
+class Upstream:
+    """A server that answers when it is let, or says that it drains."""
+
+    def __init__(self):
+        self.port = find_free_port()
+        self.seen = []
+        self.draining = False
+        self.let = threading.Event()
+        self.let.set()
+        self._server = web.create_server(
+            address=Address(port=self.port), threads=4, handle=self._handle
+        )
+
+    def __enter__(self):
+        self._server.prepare()
+        threading.Thread(target=self._server.serve, daemon=True).start()
+        return self
+
+    def __exit__(self, *_):
+        self.let.set()
+        web.stop_server(self._server)
+
+    def _handle(self, request):
+        given = web.read_json(request, limit_bytes=10_000).unwrap()
+        self.seen.append(given["request_id"])
+        if self.draining:
+            body = {
+                "request_id": given["request_id"],
+                "error": REASON_DRAINING,
+                "not_run": True,
+            }
+            return web.create_json(status=503, body=body)
+        assert self.let.wait(8)
+        body = {
+            "request_id": given["request_id"],
+            "version": given["version"],
+            "shard": given["shard"],
+            "reply": {"hits": []},
+        }
+        return web.create_json(status=200, body=body)
+
+
+class Owner(Node):
+    """An instance with lanes, and the outcomes of what is submitted to it."""
+
+    def __init__(self, name, upstream, **sections):
+        super().__init__(name, services=("dispatch",), **sections)
+        self.outcomes = {}
+        self.upstream = upstream
+        self.list_upstream(epoch=1)
+
+    def list_upstream(self, *, epoch, state="live"):
+        record = {
+            "name": "u",
+            "host": "127.0.0.1",
+            "port": self.upstream.port,
+            "service": "s",
+            "failure_domain": "domain-a",
+            "epoch": epoch,
+            "slots": 1,
+            "state": state,
+        }
+        self.kernel.publish(
+            DocumentChanged(
+                name=INVENTORY_NAME, generation=epoch, body={"upstreams": [record]}
+            )
+        )
+
+    def submit(self, name, *, remote=False):
+        subrequest = Subrequest(
+            id=name,
+            request_id="q",
+            upstream="u",
+            rank=Rank.URGENT,
+            remaining_ms=8_000,
+            version="v1",
+            shard="shard",
+        )
+        self.kernel.find("dispatch", Dispatch).submit(
+            subrequest,
+            lambda outcome: self.outcomes.__setitem__(name, outcome),
+            remote=remote,
+        )
+
+    def wait_for_outcome(self, name):
+        wait_for(lambda: name in self.outcomes, f"the outcome of {name}")
+        return self.outcomes[name]
+
+    def list_replicas(self):
+        inventory = self.kernel.find("inventory", Inventory)
+        return inventory.list_replicas(groups=GROUPS, service_name="s")
+
+
+@pytest.fixture
+def upstream():
+    with Upstream() as server:
+        yield server
+
+
+def assert_refused(outcome, reason):
+    assert isinstance(outcome, SubrequestNotRun)
+    assert outcome.reason == reason
+
+
+def test_draining_reply_stops_new_work_while_the_list_still_says_live(upstream):
+    owner = Owner("one", upstream)
+    upstream.draining = True
+    with running(owner):
+        owner.submit("first")
+        assert_refused(owner.wait_for_outcome("first"), REASON_DRAINING)
+        owner.list_upstream(epoch=1)
+        assert owner.list_replicas() == ()
+        owner.submit("second")
+        assert_refused(owner.wait_for_outcome("second"), REASON_UPSTREAM_LEAVING)
+        assert upstream.seen == ["first"]
+        owner.list_upstream(epoch=2)
+        assert len(owner.list_replicas()) == 1
+
+
+def test_queued_work_is_handed_back_and_the_running_exchange_finishes(upstream):
+    owner = Owner("one", upstream)
+    upstream.let.clear()
+    with running(owner):
+        owner.submit("running")
+        wait_for(lambda: upstream.seen == ["running"], "the running exchange")
+        owner.submit("queued")
+        owner.list_upstream(epoch=1, state="leaving")
+        assert_refused(owner.outcomes["queued"], REASON_UPSTREAM_LEAVING)
+        upstream.let.set()
+        assert isinstance(owner.wait_for_outcome("running"), SubrequestCompleted)
+    assert upstream.seen == ["running"]
+
+
+def test_notice_outlives_the_owner_that_saw_the_signal(upstream):
+    # Guards against a new owner that sends work because the platform's list lags.
+    first = Owner("one", upstream)
+    second = Owner(
+        "two", upstream, membership={"seeds": [{"port": first.address.port}]}
+    )
+    with running(second):
+        with running(first):
+            wait_for(lambda: len(second.live()) == len(first.live()) == 2, "both")
+            upstream.draining = True
+            first.submit("first")
+            first.wait_for_outcome("first")
+            departures = second.kernel.find("departures", Departures)
+            wait_for(lambda: departures.is_leaving("u", 1), "the notice")
+        wait_for(lambda: second.live() == ["two"], "the owner's death")
+        second.list_upstream(epoch=1)
+        assert second.list_replicas() == ()
+        second.submit("second")
+        assert_refused(second.wait_for_outcome("second"), REASON_UPSTREAM_LEAVING)
+    assert upstream.seen == ["first"]
+
+
+def test_work_taken_from_the_queue_after_the_notice_is_not_sent(upstream, monkeypatch):
+    # Guards against an item that is queued between the check and the notice.
+    owner = Owner("one", upstream)
+    upstream.let.clear()
+    departures = owner.kernel.find("departures", Departures)
+    with running(owner):
+        owner.submit("running")
+        wait_for(lambda: upstream.seen == ["running"], "the running exchange")
+        owner.submit("queued")
+        # The table alone, as if the queue had been emptied just before.
+        monkeypatch.setattr(Kernel, "publish", lambda kernel, event: None)
+        departures.note(upstream="u", epoch=1, source=SOURCE_UPSTREAM)
+        upstream.let.set()
+        assert_refused(owner.wait_for_outcome("queued"), REASON_UPSTREAM_LEAVING)
+    assert upstream.seen == ["running"]
+
+
+def test_planned_stop_hands_back_the_work_of_others_and_finishes_its_own(upstream):
+    owner = Owner("one", upstream)
+    upstream.let.clear()
+    with running(owner):
+        owner.submit("running", remote=True)
+        wait_for(lambda: upstream.seen == ["running"], "the running exchange")
+        owner.submit("other", remote=True)
+        owner.submit("own")
+        owner.kernel.publish(LeaveStarted(reason="planned stop"))
+        assert_refused(owner.outcomes["other"], REASON_LEAVING)
+        owner.submit("late", remote=True)
+        assert_refused(owner.outcomes["late"], REASON_LEAVING)
+        upstream.let.set()
+        assert owner.kernel.drain(owner.kernel.clock.now_ms() + 8_000)
+        assert isinstance(owner.outcomes["running"], SubrequestCompleted)
+        assert isinstance(owner.outcomes["own"], SubrequestCompleted)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -28,6 +28,16 @@
     assert link.lose().news is False
 
 
+def test_peer_that_was_never_heard_is_no_loss_unless_work_waits_for_it():
+    # Guards against a loss reported for an instance that is still starting.
+    link = create_link(up=False, incarnation=0)
+    put(link, "probe", despite_loss=True)
+    assert link.lose(silent=True).news is False
+    link.mark_up()
+    put(link, "call")
+    assert link.lose(silent=True).news is True
+
+
 def test_lost_link_takes_only_probes_and_recovers_when_heard():
     # Guards against calls that are queued for a frozen peer.
     link = create_link()
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -106,6 +106,15 @@
     assert not table.refute(earlier)
 
 
+def test_member_that_only_the_list_names_is_not_live():
+    # Guards against work queued at an instance that the lagging list still names.
+    table = create_table()
+    assert table.hint(create_listed("a"))
+    assert live_names(table) == set()
+    table.merge(create_update("a"), now_ms=0)
+    assert live_names(table) == {"a"}
+
+
 def test_suspect_is_condemned_only_after_its_time():
     table = create_table(create_update("a"))
     assert table.accuse("a", now_ms=100)
