--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -10,6 +10,7 @@
     Departures,
     UpstreamLeaving,
 )
+from gooseberrymux.duplicates import RecentIds
 from gooseberrymux.exchange import Exchange
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
@@ -33,6 +34,10 @@
 REASON_DRAINING = "draining"
 REASON_UNKNOWN_UPSTREAM = "unknown_upstream"
 
+# A repeated order within the last ones is dropped; at 1,000 orders a second through
+# one owner that is a minute.
+RECENT_ORDERS = 65_536
+
 Reply = Callable[[SubrequestOutcome], None]
 
 
@@ -181,6 +186,7 @@
         "_lanes",
         "_lock",
         "_leaving",
+        "_recent_orders",
     )
 
     def __init__(self, *, kernel: Kernel):
@@ -191,6 +197,7 @@
         self._lanes: dict[str, Lane] = {}
         self._lock = threading.Lock()
         self._leaving = False
+        self._recent_orders = RecentIds(limit=RECENT_ORDERS)
         self._peers.register(Subrequest, self._handle_subrequest)
         self._peers.register(CancelSubrequest, self._handle_cancel)
         kernel.subscribe(LeaveStarted, self._handle_leave)
@@ -221,6 +228,10 @@
             reply: Called once with the outcome, from any thread; must not block.
             remote: Whether another instance is its entry.
         """
+        if subrequest.order_key and not self._recent_orders.add(subrequest.id):
+            # Even a refusal of the second copy would be untrue: the first may run.
+            metrics.dropped_total.inc({"reason": "repeated_order"})
+            return
         record = self._inventory.describe(subrequest.upstream)
         if record is None:
             reply(refuse(subrequest, REASON_UNKNOWN_UPSTREAM, subrequest.upstream))
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -40,7 +40,10 @@
     assert kernel.wait_for_end() is None
     kernel.request_stop()
     assert kernel.wait_until(lambda: False, 1_000) is False
+    calls = []
+    kernel.add("api", FakeService("api", calls))
     assert kernel.drain(1_000) is False
+    assert calls == []
 
 
 def test_thread_that_ends_by_an_exception_fails_the_instance():
