--- a/packages/gooseberrymux/src/gooseberrymux/members.py
+++ b/packages/gooseberrymux/src/gooseberrymux/members.py
@@ -53,11 +53,12 @@
 class Member:
     """One row of the table."""
 
-    __slots__ = ("update", "silent_since_ms", "spreads_left")
+    __slots__ = ("update", "silent_since_ms", "dead_since_ms", "spreads_left")
 
     def __init__(self, *, update: MemberUpdate):
         self.update = update
         self.silent_since_ms: float | None = None
+        self.dead_since_ms: float | None = None
         self.spreads_left = 0
 
 
@@ -115,6 +116,8 @@
         member.update = update
         suspected = update.state is MemberState.SUSPECT
         member.silent_since_ms = now_ms if suspected else None
+        dead = update.state is MemberState.DEAD
+        member.dead_since_ms = now_ms if dead else None
         self._mark_news(member)
         return True
 
@@ -186,7 +189,7 @@
         if member and member.update.state is MemberState.LEAVING:
             member.silent_since_ms = None
 
-    def condemn(self, *, before_ms: float) -> list[MemberUpdate]:
+    def condemn(self, *, before_ms: float, now_ms: float) -> list[MemberUpdate]:
         """Declares dead all members that are silent since before `before_ms`."""
         condemned = []
         for member in self._members.values():
@@ -194,6 +197,7 @@
             if since_ms is not None and since_ms <= before_ms:
                 self._change_state(member, MemberState.DEAD)
                 member.silent_since_ms = None
+                member.dead_since_ms = now_ms
                 condemned.append(member.update)
         return condemned
 
@@ -205,10 +209,25 @@
             if member.silent_since_ms is not None
         ]
 
-    def forget(self, name: str) -> None:
-        """Removes a member."""
-        self._members.pop(name, None)
-        self._news.discard(name)
+    def list_dead(self) -> list[str]:
+        """Returns the members that are dead but not yet forgotten."""
+        return [
+            name
+            for name, member in self._members.items()
+            if member.dead_since_ms is not None
+        ]
+
+    def forget_dead(self, *, before_ms: float) -> list[str]:
+        """Removes members dead since before `before_ms`; returns their names."""
+        forgotten = [
+            name
+            for name in self.list_dead()
+            if self._members[name].dead_since_ms <= before_ms
+        ]
+        for name in forgotten:
+            del self._members[name]
+            self._news.discard(name)
+        return forgotten
 
     def pick_updates(self, *, target: str) -> list[MemberUpdate]:
         """Returns the updates for one probe: at most `UPDATES_LIMIT`.
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -20,6 +20,7 @@
     Missed,
     PendingProbe,
     ProbeBook,
+    ProbeRounds,
 )
 from gooseberrymux.records import InstanceIdentity, InstanceRecord, MemberState
 from gooseberrymux.settings import Address
@@ -31,12 +32,9 @@
 QUIET_SCAN_MS = 100
 # A loop that wakes this late was paused itself; its probes get that much longer.
 LATE_MS = 100
-SILENT_PROBES = 3
 # A newcomer probes this many members of the platform's list at once; the others follow
 # in the round robin.
 JOIN_PROBES = 16
-# Every so many periods a dead member is probed, so that a healed partition is found.
-DEAD_PROBE_PERIODS = 10
 DEAD_RETENTION_MS = 600_000
 SEED_PREFIX = "seed "
 
@@ -58,13 +56,11 @@
         "_peers",
         "_table",
         "_probes",
-        "_round",
-        "_dead_ms",
+        "_rounds",
         "_random",
         "_lock",
         "_changed",
         "_next_probe_ms",
-        "_periods",
         "_stopping",
         "_live",
     )
@@ -87,13 +83,11 @@
             seed=identity.incarnation,
         )
         self._probes = ProbeBook(timeout_ms=kernel.settings.membership.probe_timeout_ms)
-        self._round: list[str] = []
-        self._dead_ms: dict[str, float] = {}
+        self._rounds = ProbeRounds(seed=identity.incarnation)
         self._random = random.Random(identity.incarnation)
         self._lock = threading.RLock()
         self._changed = threading.Condition(self._lock)
         self._next_probe_ms = 0.0
-        self._periods = 0
         self._stopping = False
         self._live = self._table.list_live()
         self._peers.register(Probe, self._handle_probe)
@@ -200,39 +194,22 @@
         settings = self._kernel.settings.membership
         self._check_probes(now_ms)
         with self._lock:
-            condemned = self._table.condemn(before_ms=now_ms - settings.suspect_ms)
+            condemned = self._table.condemn(
+                before_ms=now_ms - settings.suspect_ms, now_ms=now_ms
+            )
         for update in condemned:
-            self._dead_ms[update.instance] = now_ms
             self._announce(update, reason="silent")
         for name in self._peers.list_quiet(QUIET_MS):
             with self._lock:
                 self._probe(name, indirect=True)
         if now_ms >= self._next_probe_ms:
             self._next_probe_ms = now_ms + settings.probe_period_ms
-            self._periods += 1
             with self._lock:
-                for name in self._pick_targets():
+                for name in self._rounds.pick_targets(self._table):
                     self._probe(name, indirect=False)
             self._contact_seeds()
             self._forget_dead(now_ms)
 
-    def _pick_targets(self) -> list[str]:
-        silent = self._table.list_silent()
-        targets = self._random.sample(silent, min(SILENT_PROBES, len(silent)))
-        states = {update.instance: update.state for update in self._table.list_all()}
-        if self._periods % DEAD_PROBE_PERIODS == 0 and self._dead_ms:
-            targets.append(self._random.choice(list(self._dead_ms)))
-        if not self._round:
-            self._round = [
-                name
-                for name, state in states.items()
-                if name != self._table.own_name and state is not MemberState.DEAD
-            ]
-            self._random.shuffle(self._round)
-        if self._round:
-            targets.append(self._round.pop())
-        return targets
-
     def _probe(self, target: str, *, indirect: bool) -> None:
         update = self._table.get(target)
         sequence = self._probes.open(
@@ -304,13 +281,9 @@
                 before = self._table.get(update.instance)
                 refuted = self._table.refute(update) or refuted
                 changed = self._table.merge(update, now_ms=self._kernel.clock.now_ms())
-                if changed and update.state is not MemberState.DEAD:
-                    self._dead_ms.pop(update.instance, None)
             if not changed:
                 continue
-            if update.state is MemberState.DEAD:
-                self._dead_ms[update.instance] = self._kernel.clock.now_ms()
-            else:
+            if update.state is not MemberState.DEAD:
                 self._peers.connect(
                     name=update.instance,
                     address=Address(host=update.host, port=update.port),
@@ -363,14 +336,11 @@
                 self._peers.disconnect(name)
 
     def _forget_dead(self, now_ms: float) -> None:
-        for name, since_ms in list(self._dead_ms.items()):
-            if now_ms - since_ms >= DEAD_RETENTION_MS:
-                with self._lock:
-                    del self._dead_ms[name]
-                    self._table.forget(name)
-                self._peers.disconnect(name)
         with self._lock:
             self._probes.expire_relays(now_ms)
+            forgotten = self._table.forget_dead(before_ms=now_ms - DEAD_RETENTION_MS)
+        for name in forgotten:
+            self._peers.disconnect(name)
 
     def _handle_probe(self, sender: InstanceIdentity, message: object) -> None:
         assert isinstance(message, Probe)
--- a/packages/gooseberrymux/src/gooseberrymux/probes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/probes.py
@@ -1,10 +1,47 @@
-"""Probes without an answer so far, and probes made on behalf of other members."""
+"""Whom to probe next, and what becomes of the probes that are open."""
 
 import dataclasses
 import itertools
+import random
 from collections.abc import Callable
 
+from gooseberrymux.members import MemberTable
+from gooseberrymux.records import MemberState
+
 RELAYS_LIMIT = 1_024
+SILENT_PROBES = 3
+# Every so many periods a dead member is probed, so that a healed partition is found.
+DEAD_PROBE_PERIODS = 10
+
+
+class ProbeRounds:
+    """Picks the members to probe in each period. Not thread-safe."""
+
+    __slots__ = ("_left", "_periods", "_random")
+
+    def __init__(self, *, seed: int):
+        self._left: list[str] = []
+        self._periods = 0
+        self._random = random.Random(seed)
+
+    def pick_targets(self, table: MemberTable) -> list[str]:
+        """Returns a few silent members, at times a dead one, and the next in turn."""
+        self._periods += 1
+        silent = table.list_silent()
+        targets = self._random.sample(silent, min(SILENT_PROBES, len(silent)))
+        if self._periods % DEAD_PROBE_PERIODS == 0 and (dead := table.list_dead()):
+            targets.append(self._random.choice(dead))
+        if not self._left:
+            self._left = [
+                update.instance
+                for update in table.list_all()
+                if update.instance != table.own_name
+                and update.state is not MemberState.DEAD
+            ]
+            self._random.shuffle(self._left)
+        if self._left:
+            targets.append(self._left.pop())
+        return targets
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
