--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -35,6 +35,8 @@
 # Frames over the limit are refused and counted; beyond this size the transport closes
 # the connection before the frame is in memory.
 RECEIVE_LIMIT_BYTES = 2 * FRAME_LIMIT_BYTES
+# Twice the largest fleet; bounds what a stranger that invents senders can take.
+LINKS_LIMIT = 8_192
 INCARNATION_RANDOM_BITS = 10
 
 
@@ -301,6 +303,8 @@
 
     def _introduce(self, envelope: Envelope) -> Link | None:
         """Opens the link with an unknown sender whose probe says where it listens."""
+        if len(self._links) >= LINKS_LIMIT:
+            return None
         for update in list_updates(envelope.messages):
             if (update.instance, update.incarnation) == (
                 envelope.sender,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,7 +4,12 @@
 import pytest
 
 from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, encode_envelope
-from gooseberrymux.messages import CancelSubrequest, MemberUpdate, Probe
+from gooseberrymux.messages import (
+    CancelSubrequest,
+    DocumentRequest,
+    MemberUpdate,
+    Probe,
+)
 from gooseberrymux.peers import MessagesNotSent
 from gooseberrymux.records import MemberState
 from support import Node, running, wait_for
@@ -112,6 +117,17 @@
     )
 
 
+def create_update(name):
+    return MemberUpdate(
+        instance=name,
+        incarnation=1,
+        state=MemberState.ALIVE,
+        host="127.0.0.1",
+        port=1,
+        failure_domain="domain-a",
+    )
+
+
 BAD_FRAMES = {
     "undecodable_frame": [
         b"",
@@ -176,17 +192,41 @@
 def test_unknown_sender_is_learned_from_its_first_probe(pair):
     one, _ = pair
     one.peers.register(Probe, one.record)
-    update = MemberUpdate(
-        instance="new",
-        incarnation=1,
-        state=MemberState.ALIVE,
-        host="127.0.0.1",
-        port=1,
-        failure_domain="domain-a",
-    )
+    update = create_update("new")
     frame = create_frame(sender="new", messages=[Probe(sequence=1, updates=[update])])
     with running(one):
         with pynng.Push0(dial=f"tcp://{one.address}") as raw:
             raw.send(frame)
             wait_for(lambda: one.received, "the probe of an unknown sender")
         assert "new" in one.peers.list_connected()
+
+
+def test_peer_that_takes_no_more_frames_is_lost(pair):
+    # Guards against a sender that blocks for ever on a peer whose buffers are full.
+    one, two = pair
+    unsent = []
+    one.kernel.subscribe(MessagesNotSent, lambda event: unsent.extend(event.messages))
+    with running(one), pynng.Pull0(listen=f"tcp://{two.address}"):
+        for number in range(24):
+            message = DocumentRequest(names=[str(number), "x" * 3_000_000])
+            one.peers.send("two", message)
+        wait_for(lambda: one.lost, "the loss")
+    assert [event.reason for event in one.lost] == ["send timed out"]
+    # What was not handed to the connection is reported in the order it was queued.
+    numbers = [int(message.names[0]) for message in unsent]
+    assert numbers == list(range(numbers[0], 24))
+
+
+def test_strangers_take_bounded_memory(pair, monkeypatch):
+    one, _ = pair
+    monkeypatch.setattr("gooseberrymux.peers.LINKS_LIMIT", 1)
+    update = create_update("new")
+    frame = create_frame(sender="new", messages=[Probe(sequence=1, updates=[update])])
+    with running(one):
+        with pynng.Push0(dial=f"tcp://{one.address}") as raw:
+            raw.send(frame)
+            wait_for(
+                lambda: one.peers.describe()["dropped"] == {"unknown_sender": 1},
+                "the drop",
+            )
+    assert one.peers.list_connected() == ("two",)
