--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -21,15 +21,18 @@
     Rejected,
     choose_exchange_targets,
     choose_push_targets,
+    create_digest,
     hash_body,
     limit_bodies,
     measure_body,
+    order_copy,
 )
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import MemberChanged, Membership
 from gooseberrymux.messages import (
     DocumentBody,
+    DocumentDelta,
     DocumentDigest,
     DocumentOffer,
     DocumentRequest,
@@ -42,6 +45,9 @@
 WATCHED_PREFIXES = ("configuration/", "index/", "instances")
 # Without this document an instance is not ready, and asks its peers more often.
 FIRST_DOCUMENT = "configuration/current"
+# Pause after the first read. An instance that knows no other yet takes itself for a
+# watcher, and each start would hold a watch on each prefix until its timeout.
+MEMBERS_WAIT_MS = 200
 WATCH_KEY = "documents/watch"
 # Idle watches before the whole prefix is read again: a platform that restarted with
 # a higher revision gives no other sign of the changes that a watch has missed.
@@ -103,6 +109,7 @@
         self._peers.register(DocumentOffer, self._handle_offer)
         self._peers.register(DocumentRequest, self._handle_request)
         self._peers.register(DocumentBody, self._handle_body)
+        self._peers.register(DocumentDelta, self._handle_delta)
         kernel.subscribe(MemberChanged, self._handle_member)
 
     def start(self) -> None:
@@ -124,7 +131,7 @@
             self._changed.notify_all()
 
     def describe(self) -> dict:
-        """Returns the documents in force, the open problems and what is watched."""
+        """Returns the documents, the open problems and what is watched."""
         return {
             "documents": {
                 doc.name: {"generation": doc.generation, "hash": doc.hash}
@@ -146,17 +153,12 @@
 
     def list_digests(self) -> list[DocumentDigest]:
         """Returns name, generation and hash of each document in force."""
-        return [
-            DocumentDigest(name=doc.name, generation=doc.generation, hash=doc.hash)
-            for doc in self._table.list_documents()
-        ]
+        return [create_digest(document) for document in self._table.list_documents()]
 
     def offer_body(self, *, name: str, body: dict, source: str) -> bool:
         """Puts the body of a platform object in force; see `offer`."""
         match body.get("generation"):
-            case bool():
-                pass
-            case int(generation):
+            case int(generation) if not isinstance(generation, bool):
                 document = DocumentBody(
                     name=name, generation=generation, hash=hash_body(body), body=body
                 )
@@ -214,18 +216,13 @@
         targets = choose_push_targets(
             peers=peers, source=source, generator=self._random
         )
-        message: DocumentBody | DocumentOffer = document
+        message: DocumentBody | DocumentDelta | DocumentOffer = document
         everyone = len(targets) >= len(peers) - 1
-        if not everyone and measure_body(document.body) > PUSH_BODY_LIMIT_BYTES:
-            message = DocumentOffer(
-                digests=[
-                    DocumentDigest(
-                        name=document.name,
-                        generation=document.generation,
-                        hash=document.hash,
-                    )
-                ]
-            )
+        delta = self._table.get_last_delta(document)
+        if delta:
+            message = delta
+        elif not everyone and measure_body(document.body) > PUSH_BODY_LIMIT_BYTES:
+            message = DocumentOffer(digests=[create_digest(document)])
         for name in targets:
             # A full queue drops it; the periodic exchange makes up for that.
             self._peers.send(name, message)
@@ -238,16 +235,16 @@
     def _report(self, name: str, problem: str, source: str) -> None:
         if not self._table.record_problem(name, problem):
             return
-        metrics.faults_total.inc({"step": "documents.take"})
-        error = DocumentError(
-            step="documents.take", peer=source, message=f"{name}: {problem}"
-        )
-        journal.record_fault(step="documents.take", peer=source, error=error)
+        step = "documents.take"
+        metrics.faults_total.inc({"step": step})
+        error = DocumentError(step=step, peer=source, message=f"{name}: {problem}")
+        journal.record_fault(step=step, peer=source, error=error)
 
     def _watch(self, prefix: str) -> None:
         backoff = Backoff(generator=self._random)
         revision = 0
         idle = 0
+        first_read = True
         while not self._stopping:
             if not self._must_read(prefix, first=revision == 0):
                 self._watching[prefix] = False
@@ -265,6 +262,9 @@
                     revision = changes.revision if idle < RELIST_AFTER_IDLE else 0
                     if advanced or self._was_long(started_ms):
                         backoff.reset()
+                        if first_read:
+                            self._pause(MEMBERS_WAIT_MS)
+                            first_read = False
                         continue
                 case Ok(changes):
                     journal.record_event(
@@ -361,14 +361,39 @@
             if known and known.generation == theirs.generation:
                 self._report_fork(known, theirs.hash, sender.name)
         if comparison.wanted:
-            self._peers.send(sender.name, DocumentRequest(names=comparison.wanted))
+            self._request(sender, comparison.wanted)
         for document in comparison.sent:
             self._peers.send(sender.name, document)
 
     def _handle_request(self, sender: InstanceIdentity, asked: DocumentRequest) -> None:
-        known = [self._table.get(name) for name in asked.names]
-        for document in limit_bodies([doc for doc in known if doc]):
+        bodies = []
+        for name in asked.names:
+            deltas = self._table.list_deltas(name, asked.known.get(name))
+            for delta in deltas:
+                self._peers.send(sender.name, delta)
+            document = self._table.get(name)
+            if document and not deltas:
+                bodies.append(document)
+        for document in limit_bodies(bodies):
             self._peers.send(sender.name, document)
 
     def _handle_body(self, sender: InstanceIdentity, document: DocumentBody) -> None:
         self.offer(document, source=sender.name)
+
+    def _handle_delta(self, sender: InstanceIdentity, delta: DocumentDelta) -> None:
+        known = self._table.get(delta.name)
+        if known and order_copy(known) >= (delta.generation, delta.hash):
+            return
+        document = self._table.apply_delta(delta)
+        if document:
+            self.offer(document, source=sender.name)
+        elif known and known.hash == delta.base:
+            # The delta does not make what it says, so only the whole body helps.
+            self._peers.send(sender.name, DocumentRequest(names=[delta.name]))
+        else:
+            self._request(sender, [delta.name])
+
+    def _request(self, sender: InstanceIdentity, names: list[str]) -> None:
+        copies = [self._table.get(name) for name in names]
+        known = {copy.name: copy.hash for copy in copies if copy}
+        self._peers.send(sender.name, DocumentRequest(names=names, known=known))
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -13,7 +13,6 @@
 OUTBOUND_LIMIT = 4_096
 INBOUND_LIMIT = 8_192
 BATCH_LIMIT = 128
-REDIAL_PAUSE_MS = 50.0
 
 REFUSED_CLOSED = "link is closed"
 REFUSED_LOST = "peer is lost"
@@ -33,17 +32,12 @@
     """The connection broke: publish what was lost."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Redial:
-    """The peer was heard but the link is not up: dial now, not after the back-off."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Close:
     """Nothing is left to send and the link is closed."""
 
 
-Step = SendBatch | ReportDown | Redial | Close
+Step = SendBatch | ReportDown | Close
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -119,8 +113,6 @@
         "_down",
         "_lost",
         "_exposed",
-        "_redial",
-        "_redialled_ms",
         "_sending",
         "_awaited",
         "_closed",
@@ -140,8 +132,6 @@
         self._down = False
         self._lost = False
         self._exposed = False
-        self._redial = False
-        self._redialled_ms = clock.now_ms()
         self._sending = False
         self._awaited = 0
         self._closed = False
@@ -202,11 +192,6 @@
                     return ReportDown()
                 if self._closed and not (self._items and self._up):
                     return Close()
-                if self._redial:
-                    self._redial = False
-                    if not self._up:
-                        self._redialled_ms = self._clock.now_ms()
-                        return Redial()
                 if self._items and self._up:
                     self._sending = True
                     count = min(BATCH_LIMIT, len(self._items))
@@ -236,16 +221,12 @@
 
     def mark_heard(self) -> None:
         """Notes that a frame of the peer arrived."""
-        now_ms = self._clock.now_ms()
-        self.last_heard_ms = now_ms
-        if self._up and not self._lost:
+        self.last_heard_ms = self._clock.now_ms()
+        if not self._lost:
             return
         with self._changed:
             if self._up:
                 self._lost = False
-            elif now_ms - self._redialled_ms >= REDIAL_PAUSE_MS:
-                self._redial = True
-                self._changed.notify_all()
 
     def mark_answered(self) -> None:
         """Notes that an awaited answer arrived."""
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -1,6 +1,7 @@
 """Every message between instances, as a frozen data class."""
 
 import dataclasses
+from typing import Any
 
 from gooseberrymux.records import MemberState, Rank
 
@@ -38,9 +39,15 @@
 
 @_message
 class CancelSubrequest:
-    """Its result is no longer wanted."""
+    """The result of a sub-request is no longer wanted.
+
+    Attributes:
+        id: The sub-request.
+        upstream: Its upstream, so that the owner finds the queue without a search.
+    """
 
     id: str
+    upstream: str = ""
 
 
 @_message
@@ -54,6 +61,8 @@
         reply: The upstream's reply.
         upstream_ms: Time in milliseconds that the exchange took.
         queued_ms: Time in milliseconds in the owner's queue.
+        queue_wait_ms: Owner's estimate, in milliseconds, of the queue wait of a next
+            sub-request of the same rank.
     """
 
     id: str
@@ -62,6 +71,7 @@
     reply: dict
     upstream_ms: float
     queued_ms: float
+    queue_wait_ms: float = 0.0
 
 
 @_message
@@ -73,12 +83,14 @@
         reason: One of the `REASON_` constants of `dispatch`.
         step: Where it was refused.
         peer: The upstream or instance that refused it.
+        queue_wait_ms: As in `SubrequestCompleted`.
     """
 
     id: str
     reason: str
     step: str
     peer: str
+    queue_wait_ms: float = 0.0
 
 
 @_message
@@ -90,12 +102,14 @@
         reason: What went wrong.
         step: Where it went wrong.
         peer: The upstream or instance concerned.
+        queue_wait_ms: As in `SubrequestCompleted`.
     """
 
     id: str
     reason: str
     step: str
     peer: str
+    queue_wait_ms: float = 0.0
 
 
 SubrequestOutcome = SubrequestCompleted | SubrequestNotRun | SubrequestUnknown
@@ -184,9 +198,16 @@
 
 @_message
 class DocumentRequest:
-    """Asks for the bodies of documents."""
+    """Asks for documents.
+
+    Attributes:
+        names: The documents.
+        known: Hash of the copy in force at the sender, by name; the receiver may then
+            send the changes since.
+    """
 
     names: list[str]
+    known: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @_message
@@ -199,6 +220,40 @@
     body: dict
 
 
+@_message
+class DeltaStep:
+    """One step from a body to the next.
+
+    Attributes:
+        action: set, drop or insert.
+        path: Field names and list positions.
+        value: The new value; unused to drop.
+    """
+
+    action: str
+    path: list[str | int]
+    value: Any = None
+
+
+@_message
+class DocumentDelta:
+    """The change from one generation of a document to a later one.
+
+    Attributes:
+        name: The document.
+        base: Hash of the copy that it applies to.
+        generation: The generation that it makes.
+        hash: Hash of the copy that it makes.
+        steps: What changes.
+    """
+
+    name: str
+    base: str
+    generation: int
+    hash: str
+    steps: list[DeltaStep]
+
+
 @_message
 class LeavingNotice:
     """An upstream is leaving and gets no new work, or an operator took it back.
@@ -340,6 +395,7 @@
     DocumentOffer,
     DocumentRequest,
     DocumentBody,
+    DocumentDelta,
     LeavingNotice,
     ClaimRequest,
     OutcomeRecord,
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -7,7 +7,7 @@
 import dataclasses
 import secrets
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import pynng
 from result import Err, Ok, Result
@@ -375,11 +375,20 @@
             current=message.current,
         )
 
-    def _report_down(self, link: Link, reason: str, *, silent: bool = False) -> None:
+    def _report_down(
+        self,
+        link: Link,
+        reason: str,
+        *,
+        silent: bool = False,
+        unsent: Sequence[object] = (),
+    ) -> None:
         # Membership takes the peer off the list of owners first, so that the calls
         # that fail next are not sent to it again.
         self._kernel.publish(LinkDown(instance=link.name, incarnation=link.incarnation))
-        self._report(link, link.lose(silent=silent), reason)
+        loss = link.lose(silent=silent)
+        whole = dataclasses.replace(loss, unsent=[*unsent, *loss.unsent])
+        self._report(link, whole, reason)
 
     def _report(self, link: Link, loss: Loss, reason: str) -> None:
         self._publish_unsent(link, loss.unsent)
--- a/packages/gooseberrymux/src/gooseberrymux/senders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/senders.py
@@ -8,13 +8,12 @@
 from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, encode_envelope
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.links import Close, Link, Redial, ReportDown, SendBatch
+from gooseberrymux.links import Close, Link, ReportDown, SendBatch
 from gooseberrymux.records import InstanceIdentity
 
-# A peer that is heard is dialled at once; this is the back-off for the others, among
-# them the dead, of which a partition may leave many.
+# The first message to an instance that has just started waits at most the longer one.
 RECONNECT_MIN_MS = 10
-RECONNECT_MAX_MS = 1_000
+RECONNECT_MAX_MS = 200
 # A blocked send looks for a broken connection this often.
 SEND_TIMEOUT_MS = 200
 # A peer whose connection takes no frame this long is lost.
@@ -69,16 +68,13 @@
             # pynng calls these in its own threads; they only set flags.
             socket.add_post_pipe_connect_cb(lambda pipe: link.mark_up())
             socket.add_post_pipe_remove_cb(lambda pipe: link.mark_down())
-            dialer = socket.dial(f"tcp://{link.address}", block=False)
+            socket.dial(f"tcp://{link.address}", block=False)
             while True:
                 match link.take():
                     case SendBatch(messages=messages, incarnation=incarnation):
                         self._send_batch(socket, messages, incarnation)
                     case ReportDown():
                         self._report_down(link, REASON_BROKE)
-                    case Redial():
-                        dialer.close()
-                        dialer = socket.dial(f"tcp://{link.address}", block=False)
                     case Close():
                         self._kernel.clock.sleep_ms(LINGER_MS)
                         return
@@ -86,6 +82,20 @@
     def _send_batch(
         self, socket: pynng.Push0, messages: list, incarnation: int
     ) -> None:
+        frames = self._pack(messages, incarnation)
+        for number, (frame, _) in enumerate(frames):
+            failed = self._send_frame(socket, frame)
+            if failed:
+                unsent = [message for _, part in frames[number:] for message in part]
+                silent = failed == REASON_BLOCKED
+                self._report_down(self._link, failed, silent=silent, unsent=unsent)
+                break
+            self._count_sent(len(frame))
+        if self._kernel.is_draining:
+            self._kernel.wake()
+
+    def _pack(self, messages: list, incarnation: int) -> list[tuple[bytes, list]]:
+        """Returns frames within the limit, each with its messages, in order."""
         frame = encode_envelope(
             Envelope(
                 sender=self._identity.name,
@@ -95,45 +105,36 @@
                 messages=messages,
             )
         )
-        if len(frame) > FRAME_LIMIT_BYTES:
-            self._split_batch(socket, messages, incarnation)
-        elif self._send_frame(socket, frame):
-            self._count_sent(len(frame))
-        else:
-            self._report_unsent(self._link, messages)
-        if self._kernel.is_draining:
-            self._kernel.wake()
+        if len(frame) <= FRAME_LIMIT_BYTES:
+            return [(frame, messages)]
+        if len(messages) > 1:
+            middle = len(messages) // 2
+            return [
+                *self._pack(messages[:middle], incarnation),
+                *self._pack(messages[middle:], incarnation),
+            ]
+        self._drops.record(
+            reason="oversized_message",
+            step="peers.send",
+            peer=self._link.name,
+            detail=type(messages[0]).__name__,
+        )
+        self._report_unsent(self._link, messages)
+        return []
 
-    def _send_frame(self, socket: pynng.Push0, frame: bytes) -> bool:
-        """Returns whether pynng took the frame; if not, no byte of it was sent."""
+    def _send_frame(self, socket: pynng.Push0, frame: bytes) -> str | None:
+        """Returns None, or why pynng did not take the frame; no byte of it was sent."""
         until_ms = self._kernel.clock.now_ms() + SEND_GIVE_UP_MS
         while not self._link.has_broken():
             try:
                 socket.send(frame)
-                return True
+                return None
             except pynng.Timeout:
                 if self._kernel.clock.now_ms() >= until_ms:
-                    self._report_down(self._link, REASON_BLOCKED, silent=True)
-                    return False
+                    return REASON_BLOCKED
             except pynng.NNGException as error:
                 journal.record_fault(
                     step="peers.send", peer=self._link.name, error=error
                 )
-                return False
-        return False
-
-    def _split_batch(
-        self, socket: pynng.Push0, messages: list, incarnation: int
-    ) -> None:
-        if len(messages) == 1:
-            self._drops.record(
-                reason="oversized_message",
-                step="peers.send",
-                peer=self._link.name,
-                detail=type(messages[0]).__name__,
-            )
-            self._report_unsent(self._link, messages)
-            return
-        middle = len(messages) // 2
-        self._send_batch(socket, messages[:middle], incarnation)
-        self._send_batch(socket, messages[middle:], incarnation)
+                return REASON_BROKE
+        return REASON_BROKE
