--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -64,7 +64,7 @@
     def stop(self) -> None:
         """Finishes the requests in flight and closes the listener."""
         if self._server:
-            self._server.stop()
+            web.stop_server(self._server)
 
     def handle(self, request: Request) -> Response:
         """Answers one request of an operator and logs it with the operator's name."""
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -3,15 +3,17 @@
 import threading
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.departures import Departures, UpstreamLeaving
 from gooseberrymux.duplicates import RecentIds
 from gooseberrymux.inventory import Inventory
-from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.lanes import (
     REASON_CANCELLED,
     REASON_DEADLINE,
     REASON_LEAVING,
     REASON_QUEUE_FULL,
     REASON_UNKNOWN_UPSTREAM,
+    REASON_UPSTREAM_LEAVING,
     Lane,
     LaneClosed,
     Queued,
@@ -29,7 +31,7 @@
 RECENT_ORDERS = 65_536
 
 
-@service("dispatch", requires=("peers", "inventory"))
+@service("dispatch", requires=("peers", "inventory", "departures"))
 class Dispatch:
     """The lanes of the upstreams that this instance serves."""
 
@@ -39,6 +41,8 @@
         "_inventory",
         "_lanes",
         "_lock",
+        "_departures",
+        "_leaving",
         "_draining",
         "_recent_orders",
     )
@@ -49,16 +53,24 @@
         self._inventory = kernel.find("inventory", Inventory)
         self._lanes: dict[str, Lane] = {}
         self._lock = threading.Lock()
+        self._departures = kernel.find("departures", Departures)
+        self._leaving = False
         self._draining = False
         self._recent_orders = RecentIds(limit=RECENT_ORDERS)
         self._peers.register(Subrequest, self._handle_subrequest)
         self._peers.register(CancelSubrequest, self._handle_cancel)
+        kernel.subscribe(LeaveStarted, self._handle_leave)
+        kernel.subscribe(UpstreamLeaving, self._handle_upstream_leaving)
 
     def start(self) -> None:
         """Nothing to start: lanes open with their first sub-request."""
 
     def drain(self, deadline_ms: float) -> None:
-        """Hands queued sub-requests back as not run."""
+        """Finishes exchanges and own work; hands back what the deadline cuts off."""
+        self._kernel.wait_until(
+            lambda: all(lane.pending == 0 for lane in list(self._lanes.values())),
+            deadline_ms,
+        )
         with self._lock:
             # Under the lock, so that no lane opens after the list below was taken.
             self._draining = True
@@ -74,7 +86,7 @@
     def describe(self) -> dict:
         """Returns the lanes' queues for the status."""
         return {
-            "draining": self._draining,
+            "leaving": self._leaving,
             "lanes": {
                 name: {
                     "pending": lane.pending,
@@ -105,6 +117,12 @@
         if record is None:
             reply(refuse(subrequest, REASON_UNKNOWN_UPSTREAM, subrequest.upstream))
             return
+        if self._leaving and requester:
+            reply(refuse(subrequest, REASON_LEAVING, subrequest.upstream))
+            return
+        if self._inventory.is_leaving(record):
+            reply(refuse(subrequest, REASON_UPSTREAM_LEAVING, subrequest.upstream))
+            return
         now_ms = self._kernel.clock.now_ms()
         item = QueuedItem(
             subrequest=subrequest,
@@ -150,6 +168,21 @@
             case _:
                 return result
 
+    def _handle_leave(self, event: LeaveStarted) -> None:
+        # The entries learned from membership that this instance is leaving before
+        # they get these back, so they go to the next owner.
+        self._leaving = True
+        for lane in list(self._lanes.values()):
+            for item in lane.take_back(remote_only=True):
+                item.reply(refuse(item.subrequest, REASON_LEAVING, lane.record.name))
+
+    def _handle_upstream_leaving(self, event: UpstreamLeaving) -> None:
+        lane = self._lanes.get(event.upstream)
+        if lane is None or not self._inventory.is_leaving(lane.record):
+            return
+        for item in lane.take_back(remote_only=False):
+            item.reply(refuse(item.subrequest, REASON_UPSTREAM_LEAVING, event.upstream))
+
     def _open_lane(self, record: UpstreamRecord) -> Lane | None:
         lane = self._lanes.get(record.name)
         if lane is not None and lane.record is record:
@@ -160,7 +193,10 @@
             lane = self._lanes.get(record.name)
             if lane is None:
                 lane = Lane(
-                    kernel=self._kernel, record=record, on_idle=self._remove_lane
+                    kernel=self._kernel,
+                    record=record,
+                    departures=self._departures,
+                    on_idle=self._remove_lane,
                 )
                 self._lanes[record.name] = lane
                 lane.start()
--- a/packages/gooseberrymux/src/gooseberrymux/lanes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/lanes.py
@@ -6,6 +6,7 @@
 
 from gooseberrymux import journal, metrics
 from gooseberrymux.canceller import Canceller
+from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
 from gooseberrymux.exchange import REASON_DEADLINE, Exchange
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.messages import (
@@ -21,6 +22,9 @@
 REASON_QUEUE_FULL = "queue_full"
 REASON_CANCELLED = "cancelled"
 REASON_LEAVING = "instance_leaving"
+REASON_UPSTREAM_LEAVING = "upstream_leaving"
+# What an upstream that drains gives as its reason.
+REASON_DRAINING = "draining"
 REASON_UNKNOWN_UPSTREAM = "unknown_upstream"
 REASON_INTERNAL = "internal_error"
 
@@ -86,7 +90,7 @@
     Attributes:
         subrequest: What to run.
         reply: Gets the outcome.
-        requester: Instance that may cancel it.
+        requester: Instance that may cancel it; empty for this one.
         queued_at_ms: When it was queued.
         deadline_ms: When it is no longer worth running.
     """
@@ -104,6 +108,7 @@
     __slots__ = (
         "record",
         "_kernel",
+        "_departures",
         "_queue",
         "_refusal_policy",
         "_lock",
@@ -124,11 +129,13 @@
         *,
         kernel: Kernel,
         record: UpstreamRecord,
+        departures: Departures,
         on_idle: Callable[["Lane"], None],
     ):
         settings = kernel.settings
         self.record = record
         self._kernel = kernel
+        self._departures = departures
         self._on_idle = on_idle
         self._refusal_policy: RefusalPolicy = (
             EarlyRefusal() if settings.policy.early_refusal else LateRefusal()
@@ -206,6 +213,13 @@
         with self._lock:
             return self._queue.remove(lambda item: item.deadline_ms <= now_ms)
 
+    def take_back(self, *, remote_only: bool) -> list[QueuedItem]:
+        """Removes what is queued, for all entries or only for others than this."""
+        with self._lock:
+            return self._queue.remove(
+                lambda item: bool(item.requester) or not remote_only
+            )
+
     def close(self) -> list[QueuedItem]:
         """Ends the threads after the running exchanges; returns what was queued."""
         with self._lock:
@@ -240,6 +254,8 @@
             with self._lock:
                 # Only now: a drain that waits for this must not miss the outcome.
                 self._unanswered -= 1
+            if self._kernel.is_draining:
+                self._kernel.wake()
         exchange.close()
         if self._closed and not self.pending:
             self._canceller.close()
@@ -272,8 +288,19 @@
     def _run(self, exchange: Exchange, item: QueuedItem) -> SubrequestOutcome:
         if self._kernel.clock.now_ms() >= item.deadline_ms:
             return refuse(item.subrequest, REASON_DEADLINE, self.record.name)
+        record = exchange.record
+        if self._departures.is_leaving(record.name, record.epoch):
+            return refuse(item.subrequest, REASON_UPSTREAM_LEAVING, record.name)
         try:
-            return exchange.run(item.subrequest, item.deadline_ms)
+            outcome = exchange.run(item.subrequest, item.deadline_ms)
+            match outcome:
+                case SubrequestNotRun(reason=reason) if reason == REASON_DRAINING:
+                    self._departures.note(
+                        upstream=record.name,
+                        epoch=record.epoch,
+                        source=SOURCE_UPSTREAM,
+                    )
+            return outcome
         except Exception as error:
             # A fault in one exchange must not take the lane's thread with it.
             exchange.close()
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -167,6 +167,9 @@
         self.network.queue.append((self.identity, name, message))
         return Ok(None)
 
+    def describe(self) -> dict:
+        return {"links": len(self.network.nodes) - 1}
+
 
 class FixedMembership(Membership):
     """Members that the test sets."""
@@ -176,6 +179,9 @@
     def __init__(self, names: list[str]):
         self.members = names
 
+    def describe(self) -> dict:
+        return {"members": self.members}
+
     def list_live(self) -> tuple[InstanceRecord, ...]:
         return tuple(
             InstanceRecord(
