--- a/packages/gooseberrymux/src/gooseberrymux/edits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/edits.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from gooseberrymux.checks import (
+    find_emptied_services,
     find_problems,
     find_size_problem,
     find_unreachable,
@@ -28,7 +29,7 @@
     list_kind,
     name_object,
 )
-from gooseberrymux.document_table import measure_body
+from gooseberrymux.document_table import find_unportable, measure_body
 from gooseberrymux.records import RunState, UpstreamRecord
 
 CHANGE_ID_LIMIT = 64
@@ -297,6 +298,10 @@
     size_problem = find_size_problem(size_bytes)
     if size_problem:
         problems.append(size_problem)
+    fault = find_unportable(body, depth=0)
+    if fault:
+        # Written, it would be accepted by the platform and in force nowhere.
+        problems.append(Problem(object="change", field="edits", message=fault))
     unreachable = find_unreachable(before=basis, after=candidate, upstreams=upstreams)
     if unreachable and not change.allow_unreachable:
         problems += [
@@ -308,6 +313,9 @@
     if problems:
         return Invalid(problems=tuple(problems))
     warnings += unreachable
+    warnings += find_emptied_services(
+        before=basis, after=candidate, upstreams=upstreams
+    )
     warnings += find_warnings(
         configuration=candidate, size_bytes=size_bytes, upstreams=upstreams
     )
--- a/tests/test_selectors.py
+++ b/tests/test_selectors.py
@@ -173,7 +173,17 @@
     assert "left with no upstream" in refused.problems[0].message
     allowed = plan(drain, allow_unreachable=True)
     assert isinstance(allowed, Ready)
-    assert len(allowed.warnings) == len(Rank)
+    # One for each rank and one for the service.
+    assert len(allowed.warnings) == len(Rank) + 1
+
+
+def test_drain_of_the_last_upstream_of_a_group_of_all_is_refused():
+    group = Group(name="all", index="i", match={})
+    basis = configure(select("s", groups=["all"]), groups=[group])
+    other = dataclasses.replace(UPSTREAM, name="u-2", labels={})
+    drain = put(Kind.DRAIN, "u-1")
+    assert isinstance(plan(drain, basis=basis), Invalid)
+    assert isinstance(plan(drain, basis=basis, upstreams=(UPSTREAM, other)), Ready)
 
 
 def test_rank_that_had_no_upstream_is_not_reported():
@@ -213,6 +223,15 @@
     assert [item.object for item in ready.warnings] == ["selector/a"]
 
 
+def test_drain_of_the_last_upstream_of_a_service_is_a_warning():
+    """Guards against a shard that is missing from every answer without a word."""
+    other = dataclasses.replace(UPSTREAM, name="u-2", service="s-2")
+    ready = plan(put(Kind.DRAIN, "u-1"), upstreams=(UPSTREAM, other))
+    assert isinstance(ready, Ready)
+    assert [item.object for item in ready.warnings] == ["drain/u-1"]
+    assert "'s-1' is left" in ready.warnings[0].message
+
+
 @pytest.mark.parametrize(("size", "refused"), [(850_000, False), (1_200_000, True)])
 def test_size_near_the_limit_is_a_warning_and_over_it_a_problem(size, refused):
     found = plan(put(Kind.GROUP, "big", index="i", match={}, labels={"x": "y" * size}))
@@ -223,6 +242,12 @@
         assert "near the platform's limit" in found.warnings[0].message
 
 
+def test_value_that_could_not_be_in_force_is_refused():
+    """Guards against a change that is written and then rejected by every instance."""
+    found = plan(put(Kind.GROUP, "n", index="i", match={"a": "\ud800"}))
+    assert isinstance(found, Invalid)
+
+
 def test_object_edited_twice_in_one_change_is_refused():
     edit = put(Kind.DRAIN, "u-1")
     assert isinstance(plan(edit, edit), Invalid)
@@ -237,3 +262,11 @@
     assert again == Accepted(generation=2)
     assert isinstance(other, Invalid)
     assert other.problems[0].field == "change_id"
+
+
+def test_field_with_its_default_is_not_written():
+    """Guards against instances of an earlier release that refuse every new document."""
+    ready = plan(put(Kind.GROUP, "n", index="i", match={}))
+    assert isinstance(ready, Ready)
+    assert ready.body["groups"][-1] == {"name": "n", "index": "i", "match": {}}
+    assert decode_configuration(ready.body).groups[-1].outcome_lookup is False
