--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -1,22 +1,21 @@
 """Administration API, on an address that callers can't reach, with operator tokens."""
 
-import dataclasses
-import hmac
-
 import cheroot.wsgi
-from result import Err, Ok, Result
+from result import Err, Ok
 
 from gooseberrymux import admin_bodies, journal, web
 from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.configuration_model import describe_configuration
 from gooseberrymux.edits import Change
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import Membership
 from gooseberrymux.ownership import find_owner
 from gooseberrymux.platform import BODY_LIMIT_BYTES
-from gooseberrymux.records import RunState, UpstreamRecord
+from gooseberrymux.records import Rank, RunState, UpstreamRecord
 from gooseberrymux.selectors import explain
 from gooseberrymux.status import FleetStatus, Status
+from gooseberrymux.tokens import authenticate
 from gooseberrymux.web import Request, Response
 
 THREADS = 8
@@ -69,7 +68,8 @@
 
     def handle(self, request: Request) -> Response:
         """Answers one request of an operator and logs it with the operator's name."""
-        match self._authenticate(request):
+        tokens = self._kernel.settings.api.operator_tokens
+        match authenticate(request, tokens=tokens):
             case Err(response):
                 operator = ""
             case Ok(operator):
@@ -84,32 +84,6 @@
         )
         return response
 
-    def _authenticate(self, request: Request) -> Result[str, Response]:
-        scheme, _, token = request.headers.get("authorization", "").partition(" ")
-        if scheme.lower() != "bearer" or not token.strip():
-            refusal = web.create_error(
-                status=401,
-                code="unauthenticated",
-                message="expected an Authorization header with a bearer token",
-                run_state=RunState.NOT_RUN.value,
-            )
-            return Err(
-                dataclasses.replace(refusal, headers={"WWW-Authenticate": "Bearer"})
-            )
-        operator = find_operator(
-            token=token.strip(), tokens=self._kernel.settings.api.operator_tokens
-        )
-        if operator is None:
-            return Err(
-                web.create_error(
-                    status=403,
-                    code="unknown_token",
-                    message="the token is not an operator's",
-                    run_state=RunState.NOT_RUN.value,
-                )
-            )
-        return Ok(operator)
-
     def _handle_authenticated(self, request: Request, operator: str) -> Response:
         match (request.method, request.path):
             case ("GET", "/v1/configuration"):
@@ -139,9 +113,7 @@
         current = self._configuration.get_current()
         if current is None:
             return refuse_not_ready()
-        return web.create_json(
-            status=200, body=admin_bodies.describe_configuration(current)
-        )
+        return web.create_json(status=200, body=describe_configuration(current))
 
     def _handle_change(self, request: Request, operator: str) -> Response:
         match web.read_json(request, limit_bytes=BODY_LIMIT_BYTES):
@@ -219,20 +191,6 @@
         )
 
 
-def find_operator(*, token: str, tokens: dict[str, str]) -> str | None:
-    """Returns the operator of a token, or None.
-
-    Every token is compared, each in constant time, so that the time of the answer
-    tells nothing about a token that is nearly right.
-    """
-    found = None
-    given = token.encode()
-    for known, operator in tokens.items():
-        if hmac.compare_digest(known.encode(), given):
-            found = operator
-    return found
-
-
 def describe_upstream(
     *, record: UpstreamRecord, owner: str | None, draining: bool, fleet: FleetStatus
 ) -> dict:
@@ -241,6 +199,9 @@
     match services:
         case {"dispatch": {"lanes": {record.name: {"queued": dict(queue)}}}}:
             pass
+        case {"dispatch": {"lanes": dict()}}:
+            # The owner opens a queue with the first sub-request for it.
+            queue = {rank.value: 0 for rank in Rank}
         case _:
             queue = None
     return {
