--- a/tests/order_world.py
+++ b/tests/order_world.py
@@ -266,6 +266,9 @@
         ]
         self._by_service = {"a": records}
 
+    def is_leaving(self, record):
+        return False
+
 
 class InlineKernel(Kernel):
     """Runs spawned work in the thread that spawns it."""
