Name callers by token; finish calls whose message was never sent as not run

Cause: api.caller_tokens was accepted but never looked at, so anybody could name any caller. And a sub-request that a link dropped before sending was reported as lost, so an order read unknown although it certainly had not run. Also: range checks of the API's settings, and two process tests that needed the new membership (instance replaced in an outage, all watchers lost).

--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -18,6 +18,7 @@
 from gooseberrymux.queries import Queries
 from gooseberrymux.records import Answer, Query, Rank, Refusal, Traffic
 from gooseberrymux.snapshots import Snapshots
+from gooseberrymux.tokens import authenticate
 from gooseberrymux.web import Request, Response
 
 REFUSAL_STATUS = {"no_route": 404, "overloaded": 429, "deadline_expired": 504}
@@ -134,12 +135,6 @@
 
     def _route(self, request: Request) -> Response:
         match (request.method, request.path):
-            case ("POST", "/v1/query"):
-                return self._handle_query(request)
-            case ("POST", path) if path == ORDER_PATH:
-                return self._handle_order(request)
-            case ("GET", path) if path.startswith(f"{ORDER_PATH}/"):
-                return self._orders.find(request, caller=read_caller(request))
             case ("GET", "/health"):
                 return self._handle_health()
             case ("GET", "/metrics"):
@@ -147,6 +142,22 @@
                     request.headers.get("accept", "")
                 )
                 return Response(status=200, body=body, headers=dict(headers))
+            case _:
+                tokens = self._kernel.settings.api.caller_tokens
+                match identify_caller(request, tokens=tokens):
+                    case Err(response):
+                        return response
+                    case Ok(caller):
+                        return self._route_caller(request, caller)
+
+    def _route_caller(self, request: Request, caller: str) -> Response:
+        match (request.method, request.path):
+            case ("POST", "/v1/query"):
+                return self._handle_query(request, caller)
+            case ("POST", path) if path == ORDER_PATH:
+                return self._handle_order(request, caller)
+            case ("GET", path) if path.startswith(f"{ORDER_PATH}/"):
+                return self._orders.find(request, caller=caller)
             case _:
                 return web.create_error(
                     status=404,
@@ -155,7 +166,7 @@
                     run_state="not_run",
                 )
 
-    def _handle_query(self, request: Request) -> Response:
+    def _handle_query(self, request: Request, caller: str) -> Response:
         settings = self._kernel.settings
         started_ms = self._kernel.clock.now_ms()
         match web.read_json(request, limit_bytes=settings.api.body_limit_bytes):
@@ -174,7 +185,7 @@
         query = Query(
             request_id=self._calls.create_id("q"),
             traffic=Traffic(
-                caller=read_caller(request),
+                caller=caller,
                 service=body.service,
                 rank=body.rank,
                 labels=body.labels,
@@ -199,7 +210,7 @@
         )
         return response
 
-    def _handle_order(self, request: Request) -> Response:
+    def _handle_order(self, request: Request, caller: str) -> Response:
         limit_bytes = self._kernel.settings.api.body_limit_bytes
         match web.read_json(request, limit_bytes=limit_bytes).and_then(
             lambda decoded: parse_body(OrderBody, decoded)
@@ -211,7 +222,7 @@
         with self._admission.hold(body.rank) as refused:
             if refused:
                 return create_refusal(refused)
-            return self._orders.submit(request, caller=read_caller(request), body=body)
+            return self._orders.submit(request, caller=caller, body=body)
 
     def _handle_health(self) -> Response:
         state = "ready"
@@ -228,9 +239,18 @@
         return web.create_json(status=status, body={"state": state})
 
 
-def read_caller(request: Request) -> str:
-    """Returns the caller that a request names."""
-    return request.headers.get("x-caller", "anonymous")
+def identify_caller(
+    request: Request, *, tokens: dict[str, str]
+) -> Result[str, Response]:
+    """Returns the caller that a request's token or, without tokens, its header names.
+
+    Args:
+        request: The request.
+        tokens: Callers by token; empty if callers are trusted to name themselves.
+    """
+    if not tokens:
+        return Ok(request.headers.get("x-caller", "anonymous"))
+    return authenticate(request, tokens=tokens)
 
 
 def parse_body(cls: type, decoded: dict) -> Result:
--- a/packages/gooseberrymux/src/gooseberrymux/calls.py
+++ b/packages/gooseberrymux/src/gooseberrymux/calls.py
@@ -21,7 +21,7 @@
     SubrequestUnknown,
 )
 from gooseberrymux.ownership import find_owner
-from gooseberrymux.peers import PeerLost, Peers
+from gooseberrymux.peers import MessagesNotSent, PeerLost, Peers
 from gooseberrymux.records import InstanceIdentity, UpstreamRecord
 from gooseberrymux.routing import Routing, read_observation
 from gooseberrymux.settings import PolicySettings
@@ -138,6 +138,7 @@
         for outcome_type in (SubrequestCompleted, SubrequestNotRun, SubrequestUnknown):
             self._peers.register(outcome_type, self._handle_outcome)
         kernel.subscribe(PeerLost, self._handle_lost)
+        kernel.subscribe(MessagesNotSent, self._handle_not_sent)
         kernel.subscribe(MemberChanged, self._handle_member)
 
     def start(self) -> None:
@@ -332,6 +333,28 @@
                 # A frozen owner that wakes up finds the cancel behind the request.
                 self._send_cancel(call)
 
+    def _handle_not_sent(self, event: MessagesNotSent) -> None:
+        for message in event.messages:
+            match message:
+                case Subrequest():
+                    self._finish_not_sent(message, event.instance)
+                case _:
+                    pass
+
+    def _finish_not_sent(self, subrequest: Subrequest, owner: str) -> None:
+        outcome = SubrequestNotRun(
+            id=subrequest.id, reason=REASON_PEER_LOST, step="peers.send", peer=owner
+        )
+        with self._lock:
+            call = self._calls.pop(subrequest.id, None)
+            if call is not None:
+                call.inbox.put(outcome)
+        if call is None:
+            # Its attempt may have ended as unknown; an order takes the late news.
+            self._drop_outcome(outcome)
+        else:
+            self._routing.end(subrequest.upstream, NoEvidence())
+
     def _handle_member(self, event: MemberChanged) -> None:
         with self._lock:
             self._view += 1
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -85,12 +85,12 @@
 
     __pydantic_config__ = STRICT
 
-    threads: int = 64
-    body_limit_bytes: int = 65_536
+    threads: Count = 64
+    body_limit_bytes: Count = 65_536
     caller_tokens: dict[str, str] = dataclasses.field(default_factory=dict)
     operator_tokens: dict[str, str] = dataclasses.field(default_factory=dict)
-    drain_timeout_ms: int = 10_000
-    settle_ms: int = 500
+    drain_timeout_ms: DurationMs = 10_000
+    settle_ms: Annotated[int, pydantic.Field(ge=0)] = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -2,16 +2,17 @@
 
 import pytest
 
-from gooseberrymux.calls import Calls, Inbox
+from gooseberrymux.calls import Calls, Inbox, UnexpectedOutcome
 from gooseberrymux.membership import MemberChanged, Membership
 from gooseberrymux.messages import (
     CancelSubrequest,
     Subrequest,
     SubrequestCompleted,
+    SubrequestNotRun,
     SubrequestUnknown,
 )
 from gooseberrymux.ownership import find_owner
-from gooseberrymux.peers import PeerLost, Peers
+from gooseberrymux.peers import MessagesNotSent, PeerLost, Peers
 from gooseberrymux.records import InstanceIdentity, Rank, UpstreamRecord
 from harness import create_kernel
 
@@ -29,14 +30,21 @@
         self.peers = self.kernel.find("peers", Peers)
         self.inbox = Inbox(clock=self.kernel.clock)
 
-    def send(self):
-        subrequest = Subrequest(
-            id=self.calls.create_id("s"),
+    def create_subrequest(self, subrequest_id):
+        return Subrequest(
+            id=subrequest_id,
             request_id="q",
             upstream="u",
             rank=Rank.URGENT,
             remaining_ms=1000.0,
         )
+
+    def drop_unsent(self, subrequest_id):
+        message = self.create_subrequest(subrequest_id)
+        self.kernel.publish(MessagesNotSent(instance="owner", messages=[message]))
+
+    def send(self):
+        subrequest = self.create_subrequest(self.calls.create_id("s"))
         self.calls.send(subrequest=subrequest, upstream=RECORD, inbox=self.inbox)
         return subrequest.id
 
@@ -172,3 +180,21 @@
     caller.kernel.publish(MemberChanged(instance=owner, state="dead"))
     caller.send()
     assert caller.peers.sent[-1][0] not in (owner, "entry")
+
+
+def test_a_message_that_was_never_sent_is_not_run(caller):
+    # Guards against an order that reads unknown though its message was dropped.
+    caller.drop_unsent(caller.send())
+    (outcome,) = caller.take()
+    assert isinstance(outcome, SubrequestNotRun)
+    assert caller.calls.count_in_flight() == 0
+
+
+def test_unsent_news_after_a_loss_is_passed_on(caller):
+    # Guards against an order that stays unknown because the loss was noticed first.
+    late = []
+    caller.kernel.subscribe(UnexpectedOutcome, late.append)
+    subrequest_id = caller.send()
+    caller.lose(caller.peers.get_incarnation("owner"))
+    caller.drop_unsent(subrequest_id)
+    assert isinstance(late[-1].outcome, SubrequestNotRun)
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -170,3 +170,49 @@
         wait_for_generation(fleet, list(fleet.instances), 10)
         assert not any(list_problems())
         assert change(fleet, "entry-0", "one", "a", base=10).status == 200
+
+
+@pytest.mark.processes
+def test_instance_replaced_during_an_outage_takes_the_newest_from_its_peers(tmp_path):
+    """Guards against a new instance that waits for the platform, or starts with less.
+
+    The reply to the write was lost as well, so that the change was only read back.
+    """
+    fleet = Fleet(folder=tmp_path, shapes=SHAPES)
+    with run_fleet(instances=3, fleet=fleet):
+        fleet.set_faults(lose_write_replies=1)
+        assert change(fleet, "entry-0", "one", "a").status == 200
+        fleet.set_faults(outage=True)
+        fleet.kill("entry-1")
+        port = fleet.instances["entry-0"].record["peer_port"]
+        seeds = [{"host": "127.0.0.1", "port": port}]
+        new = fleet.add_instance(overrides={"membership": {"seeds": seeds}})
+        # It is ready now, and only peers can have told it anything.
+        assert read_labels(fleet, new.name)["a"] == "one"
+        answer = fleet.query(new, service="order-desk", rank="urgent", terms={})
+        assert answer["coverage"]["complete"] is True
+
+
+@pytest.mark.processes
+def test_others_watch_when_all_watchers_are_lost(tmp_path):
+    """Guards against a fleet that hears nothing of the platform after two deaths."""
+    fleet = Fleet(folder=tmp_path, shapes=SHAPES)
+
+    def list_watchers():
+        status = call(fleet, "entry-0", "GET", "/v1/status").body
+        return {
+            instance["name"]
+            for instance in status["instances"]
+            if instance["services"]["documents"]["watching"]
+        }
+
+    overrides = {"platform": {"watch_timeout_ms": 1_000}}
+    with run_fleet(instances=4, fleet=fleet, overrides=overrides):
+        wait_until(fleet, lambda: len(list_watchers()) == 2)
+        lost = list_watchers()
+        for name in lost:
+            fleet.kill(name)
+        left = [name for name in fleet.instances if name not in lost]
+        value = fleet.read_object("configuration/current")["value"]
+        fleet.write_object("configuration/current", {**value, "generation": 2})
+        wait_for_generation(fleet, left, 2)
