--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -13,6 +13,7 @@
 from gooseberrymux.admission import Admission
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.dispatch import Dispatch
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.order_api import ORDER_PATH, OrderBody, OrderEndpoints
 from gooseberrymux.queries import Queries
@@ -51,6 +52,7 @@
         "_queries",
         "_orders",
         "_calls",
+        "_dispatch",
         "_configuration",
         "_snapshots",
         "_admission",
@@ -66,6 +68,7 @@
         self._queries = kernel.find("queries", Queries)
         self._orders = OrderEndpoints(kernel=kernel)
         self._calls = kernel.find("calls", Calls)
+        self._dispatch = kernel.find("dispatch", Dispatch)
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
         self._admission = kernel.find("admission", Admission)
@@ -138,10 +141,7 @@
             case ("GET", "/health"):
                 return self._handle_health()
             case ("GET", "/metrics"):
-                body, headers = metrics.render_metrics(
-                    request.headers.get("accept", "")
-                )
-                return Response(status=200, body=body, headers=dict(headers))
+                return self._handle_metrics(request)
             case _:
                 tokens = self._kernel.settings.api.caller_tokens
                 match identify_caller(request, tokens=tokens):
@@ -150,6 +150,12 @@
                     case Ok(caller):
                         return self._route_caller(request, caller)
 
+    def _handle_metrics(self, request: Request) -> Response:
+        for rank, count in self._dispatch.count_by_rank().items():
+            metrics.queue_length.set({"rank": rank.value}, count)
+        body, headers = metrics.render_metrics(request.headers.get("accept", ""))
+        return Response(status=200, body=body, headers=dict(headers))
+
     def _route_caller(self, request: Request, caller: str) -> Response:
         match (request.method, request.path):
             case ("POST", "/v1/query"):
@@ -203,14 +209,11 @@
             case Err(refusal):
                 outcome = refusal.code
                 response = create_refusal(refusal)
-        rank = body.rank.value
-        metrics.requests_total.inc({"kind": "query", "rank": rank, "outcome": outcome})
-        metrics.request_ms.observe(
-            {"kind": "query", "rank": rank}, self._kernel.clock.now_ms() - started_ms
-        )
+        self._note_request("query", body.rank, outcome, started_ms)
         return response
 
     def _handle_order(self, request: Request, caller: str) -> Response:
+        started_ms = self._kernel.clock.now_ms()
         limit_bytes = self._kernel.settings.api.body_limit_bytes
         match web.read_json(request, limit_bytes=limit_bytes).and_then(
             lambda decoded: parse_body(OrderBody, decoded)
@@ -221,8 +224,19 @@
                 pass
         with self._admission.hold(body.rank) as refused:
             if refused:
-                return create_refusal(refused)
-            return self._orders.submit(request, caller=caller, body=body)
+                response = create_refusal(refused)
+            else:
+                response = self._orders.submit(request, caller=caller, body=body)
+        self._note_request("order", body.rank, str(response.status), started_ms)
+        return response
+
+    def _note_request(
+        self, kind: str, rank: Rank, outcome: str, started_ms: float
+    ) -> None:
+        elapsed_ms = self._kernel.clock.now_ms() - started_ms
+        labels = {"kind": kind, "rank": rank.value}
+        metrics.requests_total.inc({**labels, "outcome": outcome})
+        metrics.request_ms.observe(labels, elapsed_ms)
 
     def _handle_health(self) -> Response:
         state = "ready"
--- a/packages/gooseberrymux/src/gooseberrymux/calls.py
+++ b/packages/gooseberrymux/src/gooseberrymux/calls.py
@@ -6,7 +6,7 @@
 
 from result import Err, Ok
 
-from gooseberrymux import metrics
+from gooseberrymux import journal, metrics
 from gooseberrymux.dispatch import Dispatch
 from gooseberrymux.evidence import NoEvidence, Observation, Overtaken
 from gooseberrymux.kernel import Kernel, service
@@ -20,13 +20,15 @@
     SubrequestOutcome,
     SubrequestUnknown,
 )
-from gooseberrymux.ownership import find_owner
+from gooseberrymux.ownership import rank_owners
 from gooseberrymux.peers import MessagesNotSent, PeerLost, Peers
 from gooseberrymux.records import InstanceIdentity, UpstreamRecord
 from gooseberrymux.routing import Routing, read_observation
 from gooseberrymux.settings import PolicySettings
 
 REASON_PEER_LOST = "peer_lost"
+# Enough to see who takes over next, without a line that grows with the fleet.
+CANDIDATES_LOGGED = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -284,16 +286,29 @@
                 key = (upstream.name, upstream.failure_domain)
                 owner = self._owners.get(key)
                 if owner is None:
-                    view = self._view
-                    found = find_owner(
-                        upstream=upstream, members=self._membership.list_live()
-                    )
-                    owner = found.name if found else own_name
-                    with self._lock:
-                        if view == self._view:
-                            self._owners[key] = owner
+                    owner = self._place(upstream, own_name)
                 return owner
 
+    def _place(self, upstream: UpstreamRecord, own_name: str) -> str:
+        view = self._view
+        candidates = rank_owners(
+            upstream=upstream,
+            members=self._membership.list_live(),
+            count=CANDIDATES_LOGGED,
+        )
+        owner = candidates[0].name if candidates else own_name
+        journal.record_decision(
+            "placement.owner",
+            chosen=owner,
+            among=[member.name for member in candidates],
+            reason="highest score among live members, own failure domain first",
+            upstream=upstream.name,
+        )
+        with self._lock:
+            if view == self._view:
+                self._owners[(upstream.name, upstream.failure_domain)] = owner
+        return owner
+
     def _get_incarnation(self, owner: str) -> int:
         identity = self._peers.identity
         if owner == identity.name:
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -24,7 +24,7 @@
 )
 from gooseberrymux.messages import CancelSubrequest, Subrequest, SubrequestOutcome
 from gooseberrymux.peers import Peers
-from gooseberrymux.records import InstanceIdentity, UpstreamRecord
+from gooseberrymux.records import InstanceIdentity, Rank, UpstreamRecord
 
 # A repeated order within the last ones is dropped; at 1,000 orders a second through
 # one owner that is a minute.
@@ -99,6 +99,14 @@
             },
         }
 
+    def count_by_rank(self) -> dict[Rank, int]:
+        """Returns the number of queued sub-requests of each rank, over all lanes."""
+        total = dict.fromkeys(Rank, 0)
+        for lane in list(self._lanes.values()):
+            for rank, count in lane.count_by_rank().items():
+                total[rank] += count
+        return total
+
     def submit(
         self, subrequest: Subrequest, reply: Reply, *, requester: str = ""
     ) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -20,7 +20,7 @@
     "gooseberrymux_dropped_total", "Messages and replies dropped, by reason."
 )
 queue_length = Gauge(
-    "gooseberrymux_queue_length", "Queued sub-requests by upstream and rank."
+    "gooseberrymux_queue_length", "Sub-requests queued at this owner, by rank."
 )
 platform_calls_total = Counter(
     "gooseberrymux_platform_calls_total",
--- a/packages/gooseberrymux/src/gooseberrymux/ownership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/ownership.py
@@ -32,7 +32,15 @@
 def find_owner(
     *, upstream: UpstreamRecord, members: Sequence[InstanceRecord]
 ) -> InstanceRecord | None:
-    """Returns the instance that owns an upstream's queue, or None without members.
+    """Returns the instance that owns an upstream's queue, or None without members."""
+    best = rank_owners(upstream=upstream, members=members, count=1)
+    return best[0] if best else None
+
+
+def rank_owners(
+    *, upstream: UpstreamRecord, members: Sequence[InstanceRecord], count: int
+) -> tuple[InstanceRecord, ...]:
+    """Returns the `count` best owners of an upstream's queue, the owner first.
 
     Members of the upstream's own failure domain go first, so that the exchange with
     the upstream stays within it; without any, all members take part.
@@ -40,5 +48,4 @@
     near = [
         member for member in members if member.failure_domain == upstream.failure_domain
     ]
-    best = rank_members(key=upstream.name, members=near or members, count=1)
-    return best[0] if best else None
+    return rank_members(key=upstream.name, members=near or members, count=count)
