--- a/packages/gooseberryctl/src/gooseberryctl/changes.py
+++ b/packages/gooseberryctl/src/gooseberryctl/changes.py
@@ -58,6 +58,23 @@
             raise ClientError(step="show", message=f"no {kind} named {name!r}")
         return found
 
+    def put_object(
+        self,
+        configuration: dict,
+        *,
+        kind: str,
+        value: dict,
+        wait_ms: float | None,
+        allow_unreachable: bool = False,
+    ) -> None:
+        """Creates or replaces one object of the configuration that was read."""
+        self.change(
+            base_generation=configuration["generation"],
+            edits=(Edit(action="put", kind=kind, name=value["name"], value=value),),
+            wait_ms=wait_ms,
+            allow_unreachable=allow_unreachable,
+        )
+
     def remove_object(
         self, kind: str, name: str, wait_ms: float | None, allow_unreachable: bool
     ) -> None:
--- a/packages/gooseberryctl/src/gooseberryctl/main.py
+++ b/packages/gooseberryctl/src/gooseberryctl/main.py
@@ -8,7 +8,7 @@
 
 from gooseberryctl import views
 from gooseberryctl.changes import EXIT_DENIED, EXIT_FAILED, Session
-from gooseberryctl.client import Client, DeniedError, Edit
+from gooseberryctl.client import Client, DeniedError
 from gooseberryctl.files import create_edits, describe_difference, read_file
 from gooseberryctl.output import Format, Printer
 from gooseberrymux.clock import Clock
@@ -101,9 +101,10 @@
         value["match"] = parse_labels(match)
     if label is not None:
         value["labels"] = parse_labels(label)
-    session.change(
-        base_generation=current["generation"],
-        edits=(Edit(action="put", kind="group", name=name, value=value),),
+    session.put_object(
+        current,
+        kind="group",
+        value=value,
         wait_ms=timeout_ms if wait else None,
         allow_unreachable=allow_unreachable,
     )
@@ -141,10 +142,8 @@
     current = session.read_configuration()
     value = session.require_object(current, "group", name)
     value["labels"] = change_labels(value.get("labels", {}), labels)
-    session.change(
-        base_generation=current["generation"],
-        edits=(Edit(action="put", kind="group", name=name, value=value),),
-        wait_ms=timeout_ms if wait else None,
+    session.put_object(
+        current, kind="group", value=value, wait_ms=timeout_ms if wait else None
     )
 
 
@@ -190,9 +189,10 @@
         "labels": None if label is None else parse_labels(label),
     }
     value.update({key: field for key, field in given.items() if field is not None})
-    session.change(
-        base_generation=current["generation"],
-        edits=(Edit(action="put", kind="selector", name=name, value=value),),
+    session.put_object(
+        current,
+        kind="selector",
+        value=value,
         wait_ms=timeout_ms if wait else None,
         allow_unreachable=allow_unreachable,
     )
--- a/packages/gooseberrymux/src/gooseberrymux/claims.py
+++ b/packages/gooseberrymux/src/gooseberrymux/claims.py
@@ -11,6 +11,7 @@
 from result import Err
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.claim_entries import ClaimState, decode_entry, encode_entry
 from gooseberrymux.commits import Committer, Ticket
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.keys import pick_range
@@ -18,7 +19,6 @@
     Absent,
     Claim,
     Claimed,
-    ClaimState,
     Command,
     Complete,
     Found,
@@ -28,8 +28,6 @@
     Release,
     Unavailable,
     Verdict,
-    decode_entry,
-    encode_entry,
 )
 from gooseberrymux.membership import Membership
 from gooseberrymux.messages import (
--- a/packages/gooseberrymux/src/gooseberrymux/gather.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gather.py
@@ -61,7 +61,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Toolbox:
+class QueryServices:
     """What every gathering of this instance works with."""
 
     calls: Calls
@@ -82,7 +82,7 @@
         "_query",
         "_route",
         "_snapshot",
-        "_tools",
+        "_services",
         "_inbox",
         "_shards",
         "_attempts",
@@ -101,13 +101,13 @@
     )
 
     def __init__(
-        self, *, query: Query, route: Route, snapshot: Snapshot, tools: Toolbox
+        self, *, query: Query, route: Route, snapshot: Snapshot, services: QueryServices
     ):
         self._query = query
         self._route = route
         self._snapshot = snapshot
-        self._tools = tools
-        self._inbox = Inbox(clock=tools.clock)
+        self._services = services
+        self._inbox = Inbox(clock=services.clock)
         self._shards = {
             shard: ShardState(service=service)
             for shard, service in snapshot.shards.items()
@@ -121,7 +121,7 @@
         self._stale_until_ms: float | None = None
         self._refused_for_load: set[str] = set()
         self._longest_queued_ms = 0.0
-        allowed_ms = query.deadline_ms - tools.clock.now_ms()
+        allowed_ms = query.deadline_ms - services.clock.now_ms()
         margin_ms = min(ANSWER_MARGIN_MS, ANSWER_MARGIN_SHARE * allowed_ms)
         self._allowed_ms = allowed_ms - margin_ms
         self._until_ms = query.deadline_ms - margin_ms
@@ -147,10 +147,12 @@
         refused = len(self._refused_for_load) > REFUSED_SHARE * len(self._shards)
         if refused or self._longest_queued_ms > QUEUED_SHARE * self._allowed_ms:
             self._overloaded = True
-            self._tools.admission.note_load(self._query.traffic.rank, overloaded=True)
+            self._services.admission.note_load(
+                self._query.traffic.rank, overloaded=True
+            )
 
     def _gather(self) -> Gathered | VersionReplaced:
-        clock, until_ms = self._tools.clock, self._until_ms
+        clock, until_ms = self._services.clock, self._until_ms
         for shard in self._shards:
             self._send(shard, "first")
         while self._count_open() and clock.now_ms() < until_ms:
@@ -161,7 +163,9 @@
                 return VersionReplaced(newer=newer)
             self._run_timers()
         if not self._overloaded:
-            self._tools.admission.note_load(self._query.traffic.rank, overloaded=False)
+            self._services.admission.note_load(
+                self._query.traffic.rank, overloaded=False
+            )
         for shard, state in self._shards.items():
             if shard not in self._hits and shard not in self._missing:
                 self._missing[shard] = state.reason
@@ -188,7 +192,7 @@
         """Returns the version to restart on, once an upstream turned this one away."""
         if self._stale_until_ms is None:
             return None
-        return self._tools.snapshots.find_newer(self._snapshot)
+        return self._services.snapshots.find_newer(self._snapshot)
 
     def _handle_outcome(self, outcome: SubrequestOutcome) -> None:
         attempt = self._attempts.pop(outcome.id, None)
@@ -228,11 +232,11 @@
     def _merge(self, attempt: Attempt, hits: list) -> None:
         self._hits[attempt.shard] = hits
         state = self._shards[attempt.shard]
-        self._tools.latencies.record(
+        self._services.latencies.record(
             service_name=state.service,
             index=self._snapshot.index,
             rank=self._query.traffic.rank,
-            duration_ms=self._tools.clock.now_ms() - attempt.sent_ms,
+            duration_ms=self._services.clock.now_ms() - attempt.sent_ms,
         )
         # A loser's time is kept out of the latency sketch: it would raise the hedge
         # delay to a straggler's time and so switch the hedging off.
@@ -243,13 +247,13 @@
         state.reason = reason
         if reason in REASONS_STALE and self._stale_until_ms is None:
             # Half of the time left is kept for a restart.
-            now_ms = self._tools.clock.now_ms()
+            now_ms = self._services.clock.now_ms()
             left_ms = self._until_ms - now_ms
             self._stale_until_ms = now_ms + min(VERSION_WAIT_MS, left_ms / 2)
         if state.in_flight or self._find_newer():
             # The other copy may still answer, or the whole query starts again.
             return
-        if reason not in REASONS_UNBUDGETED and not self._tools.budgets.take_retry(
+        if reason not in REASONS_UNBUDGETED and not self._services.budgets.take_retry(
             self._query.traffic.rank
         ):
             self._missing[attempt.shard] = reason
@@ -259,7 +263,7 @@
 
     def _back_off(self, shard: str, state: ShardState) -> None:
         """Plans another round over all replicas, or settles the shard as missing."""
-        now_ms = self._tools.clock.now_ms()
+        now_ms = self._services.clock.now_ms()
         backoff_ms = RETRY_BACKOFF_MS * 2**state.rounds
         if state.reason in REASONS_STALE:
             backoff_ms = min(VERSION_RETRY_LIMIT_MS, backoff_ms)
@@ -278,7 +282,7 @@
         heapq.heappush(self._timers, (due_ms, self._timer_count, timer))
 
     def _run_timers(self) -> None:
-        now_ms = self._tools.clock.now_ms()
+        now_ms = self._services.clock.now_ms()
         while self._timers and self._timers[0][0] <= now_ms:
             match heapq.heappop(self._timers)[2]:
                 case HedgeDue(shard=shard):
@@ -299,12 +303,12 @@
         replicas = self._list_replicas(state)
         if all(replica.name in state.tried for replica in replicas):
             return
-        if self._tools.budgets.take_hedge(self._query.traffic.rank):
+        if self._services.budgets.take_hedge(self._query.traffic.rank):
             state.hedged = True
             self._send(shard, "hedge")
 
     def _list_replicas(self, state: ShardState) -> tuple[UpstreamRecord, ...]:
-        return self._tools.inventory.list_replicas(
+        return self._services.inventory.list_replicas(
             groups=self._route.groups, service_name=state.service
         )
 
@@ -314,7 +318,7 @@
         A first attempt without any replica settles the shard as missing.
         """
         state = self._shards[shard]
-        chosen = self._tools.routing.choose(
+        chosen = self._services.routing.choose(
             replicas=self._list_replicas(state),
             tried=state.tried,
             request_id=self._query.request_id,
@@ -327,9 +331,9 @@
                 self._missing[shard] = REASON_NO_REPLICA
             return False
         state.tried.add(chosen.name)
-        now_ms = self._tools.clock.now_ms()
+        now_ms = self._services.clock.now_ms()
         subrequest = Subrequest(
-            id=self._tools.calls.create_id("s"),
+            id=self._services.calls.create_id("s"),
             request_id=self._query.request_id,
             upstream=chosen.name,
             rank=self._query.traffic.rank,
@@ -344,18 +348,18 @@
         )
         state.in_flight.append(subrequest.id)
         if cause == "first":
-            self._tools.budgets.count_first(self._query.traffic.rank)
+            self._services.budgets.count_first(self._query.traffic.rank)
         if not state.hedged:
             self._is_hedge_due(shard, state, now_ms)
-        self._tools.calls.send(
+        self._services.calls.send(
             subrequest=subrequest, upstream=chosen, inbox=self._inbox
         )
         return True
 
     def _is_hedge_due(self, shard: str, state: ShardState, sent_ms: float) -> bool:
         """Returns whether an attempt has taken the hedge delay, else sets a timer."""
-        now_ms = self._tools.clock.now_ms()
-        plan = self._tools.latencies.plan_hedge(
+        now_ms = self._services.clock.now_ms()
+        plan = self._services.latencies.plan_hedge(
             service_name=state.service,
             index=self._snapshot.index,
             rank=self._query.traffic.rank,
@@ -378,7 +382,7 @@
             self._counts[(attempt.cause, ABANDONED)] += 1
             # It was handed over and its outcome will not be known.
             self.may_have_run = True
-            if self._tools.cancel_losers:
-                self._tools.calls.cancel(subrequest_id, overtaken=overtaken)
+            if self._services.cancel_losers:
+                self._services.calls.cancel(subrequest_id, overtaken=overtaken)
             else:
-                self._tools.calls.forget(subrequest_id)
+                self._services.calls.forget(subrequest_id)
--- a/packages/gooseberrymux/src/gooseberrymux/ledger.py
+++ b/packages/gooseberrymux/src/gooseberrymux/ledger.py
@@ -5,19 +5,23 @@
 """
 
 import dataclasses
-import enum
 import json
 from collections.abc import Sequence
 
+from gooseberrymux.claim_entries import (
+    ClaimEntry,
+    ClaimState,
+    decode_entry,
+    encode_entry,
+    measure_entry,
+)
 from gooseberrymux.errors import MuxError
-from gooseberrymux.keys import is_before, read_time_ms
+from gooseberrymux.keys import is_before
 
 # The platform takes values up to 1 MB; the rest is room for the request around it.
 OBJECT_LIMIT_BYTES = 950_000
 # New claims leave this much for releases of attempts that hold no claim.
 RELEASE_RESERVE_BYTES = 50_000
-# Each claim without outcome reserves this, so that an outcome always fits.
-OUTCOME_RESERVE_BYTES = 4_096
 REPLY_LIMIT_BYTES = 3_072
 
 CODE_TOO_OLD = "key_too_old"
@@ -32,45 +36,6 @@
     """A claim object does not decode; it is never overwritten."""
 
 
-class ClaimState(enum.StrEnum):
-    """State of the claim of a key."""
-
-    CLAIMED = "claimed"
-    COMPLETED = "completed"
-    RELEASED = "released"
-
-
-@_frozen
-class ClaimEntry:
-    """What the ledger holds for one key.
-
-    Attributes:
-        key: Idempotency key.
-        attempt: The attempt that holds the claim or held it last.
-        digest: Digest of the order.
-        caller: Whose order it is.
-        service: Service of the replicas that the attempt may be sent to.
-        state: Claimed, completed or released.
-        wall_ms: Wall time of the last change in milliseconds.
-        upstream: Where it ran.
-        reply: The upstream's reply.
-        reply_omitted: Whether the reply was too large to keep.
-        retired: Other attempts that can no longer claim this key.
-    """
-
-    key: str
-    attempt: str
-    digest: str
-    caller: str
-    service: str
-    state: ClaimState
-    wall_ms: int
-    upstream: str = ""
-    reply: dict = dataclasses.field(default_factory=dict)
-    reply_omitted: bool = False
-    retired: tuple[str, ...] = ()
-
-
 @_frozen
 class Claim:
     """Reserves a key for one attempt."""
@@ -368,33 +333,6 @@
         self.changed = True
 
 
-def measure_entry(entry: ClaimEntry) -> int:
-    """Returns the size of an entry in bytes, with its reserve for an outcome."""
-    encoded = len(json.dumps({entry.key: encode_entry(entry)}))
-    reserve = OUTCOME_RESERVE_BYTES if entry.state is ClaimState.CLAIMED else 0
-    return encoded + reserve
-
-
-def encode_entry(entry: ClaimEntry) -> dict:
-    """Returns the entry as it stands in the platform object."""
-    encoded = {
-        "attempt": entry.attempt,
-        "digest": entry.digest,
-        "caller": entry.caller,
-        "service": entry.service,
-        "state": entry.state.value,
-        "wall_ms": entry.wall_ms,
-    }
-    if entry.state is ClaimState.COMPLETED:
-        encoded["upstream"] = entry.upstream
-        encoded["reply"] = entry.reply
-    if entry.reply_omitted:
-        encoded["reply_omitted"] = True
-    if entry.retired:
-        encoded["retired"] = list(entry.retired)
-    return encoded
-
-
 def encode_ledger(ledger: Ledger) -> dict:
     """Returns the value of the platform object."""
     return {
@@ -418,12 +356,3 @@
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise LedgerError(step="ledger.decode", message=repr(error)) from error
     return Ledger(entries=entries, pruned_before_ms=pruned_before_ms)
-
-
-def decode_entry(key: str, encoded: dict) -> ClaimEntry:
-    """Returns one entry; raises KeyError, TypeError or ValueError if it is wrong."""
-    read_time_ms(key)
-    fields = dict(encoded)
-    fields["state"] = ClaimState(fields["state"])
-    fields["retired"] = tuple(fields.get("retired", ()))
-    return ClaimEntry(key=key, **fields)
--- a/packages/gooseberrymux/src/gooseberrymux/members.py
+++ b/packages/gooseberrymux/src/gooseberrymux/members.py
@@ -189,17 +189,17 @@
         if member and member.update.state is MemberState.LEAVING:
             member.silent_since_ms = None
 
-    def condemn(self, *, before_ms: float, now_ms: float) -> list[MemberUpdate]:
+    def expire_suspects(self, *, before_ms: float, now_ms: float) -> list[MemberUpdate]:
         """Declares dead all members that are silent since before `before_ms`."""
-        condemned = []
+        expired = []
         for member in self._members.values():
             since_ms = member.silent_since_ms
             if since_ms is not None and since_ms <= before_ms:
                 self._change_state(member, MemberState.DEAD)
                 member.silent_since_ms = None
                 member.dead_since_ms = now_ms
-                condemned.append(member.update)
-        return condemned
+                expired.append(member.update)
+        return expired
 
     def list_silent(self) -> list[str]:
         """Returns the members that are silent but not yet declared dead."""
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -194,10 +194,10 @@
         settings = self._kernel.settings.membership
         self._check_probes(now_ms)
         with self._lock:
-            condemned = self._table.condemn(
+            expired = self._table.expire_suspects(
                 before_ms=now_ms - settings.suspect_ms, now_ms=now_ms
             )
-        for update in condemned:
+        for update in expired:
             self._announce(update, reason="silent")
         for name in self._peers.list_quiet(QUIET_MS):
             with self._lock:
--- a/packages/gooseberrymux/src/gooseberrymux/orders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/orders.py
@@ -15,6 +15,7 @@
     refuse,
 )
 from gooseberrymux.calls import Calls, UnexpectedOutcome
+from gooseberrymux.claim_entries import ClaimEntry, ClaimState
 from gooseberrymux.claims import Claims
 from gooseberrymux.configuration import ConfigurationService
 from gooseberrymux.inventory import Inventory
@@ -24,8 +25,6 @@
     Absent,
     Claim,
     Claimed,
-    ClaimEntry,
-    ClaimState,
     Complete,
     Found,
     Rejected,
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -35,7 +35,7 @@
 # Frames over the limit are refused and counted; beyond this size the transport closes
 # the connection before the frame is in memory.
 RECEIVE_LIMIT_BYTES = 2 * FRAME_LIMIT_BYTES
-# Twice the largest fleet; bounds what a stranger that invents senders can take.
+# Twice the largest fleet; bounds the memory that made-up sender names can take.
 LINKS_LIMIT = 8_192
 INCARNATION_RANDOM_BITS = 10
 
--- a/packages/gooseberrymux/src/gooseberrymux/queries.py
+++ b/packages/gooseberrymux/src/gooseberrymux/queries.py
@@ -7,7 +7,7 @@
 from gooseberrymux.budgets import Budgets
 from gooseberrymux.calls import Calls
 from gooseberrymux.configuration import ConfigurationService
-from gooseberrymux.gather import Gathering, Toolbox
+from gooseberrymux.gather import Gathering, QueryServices
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.latency import Latencies, create_hedge_policy
@@ -32,14 +32,14 @@
 class Queries:
     """Runs queries, each in its caller's thread."""
 
-    __slots__ = ("_kernel", "_configuration", "_snapshots", "_tools")
+    __slots__ = ("_kernel", "_configuration", "_snapshots", "_services")
 
     def __init__(self, *, kernel: Kernel):
         settings = kernel.settings
         self._kernel = kernel
         self._configuration = kernel.find("configuration", ConfigurationService)
         self._snapshots = kernel.find("snapshots", Snapshots)
-        self._tools = Toolbox(
+        self._services = QueryServices(
             calls=kernel.find("calls", Calls),
             inventory=kernel.find("inventory", Inventory),
             routing=kernel.find("routing", Routing),
@@ -98,7 +98,7 @@
         may_have_run = False
         while True:
             gathering = Gathering(
-                query=query, route=route, snapshot=snapshot, tools=self._tools
+                query=query, route=route, snapshot=snapshot, services=self._services
             )
             gathered = gathering.run()
             may_have_run = may_have_run or gathering.may_have_run
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -167,7 +167,7 @@
 
 
 def test_cancel_removes_a_queued_item_and_asks_the_upstream_for_a_running_one(start):
-    # Guards against losers that use up slots, and against a cancel by a stranger.
+    # Guards against losers that use up slots, and against a cancel from elsewhere.
     bench = start()
     bench.submit("running", requester="e1")
     bench.wait_running("running")
--- a/tests/test_gather.py
+++ b/tests/test_gather.py
@@ -80,8 +80,8 @@
                 self.kernel.publish(event)
             case "publish_v2":
                 self.publish(2, "v2", v1=V1, v2=V2)
-            case "stranger":
-                self.peers.receive("stranger", 5, create_outcome("ok", sub))
+            case "other":
+                self.peers.receive("other", 5, create_outcome("ok", sub))
             case "earlier_run":
                 self.peers.receive("owner", 4, create_outcome("ok", sub))
             case _:
@@ -146,7 +146,7 @@
         "wrong_shard",
         "connect_failed",
         "queue_full",
-        "stranger",
+        "other",
         "earlier_run",
         "lost",
         "publish_v2",
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -119,18 +119,20 @@
 def test_suspect_is_condemned_only_after_its_time():
     table = create_table(create_update("a"))
     assert table.accuse("a", now_ms=100)
-    assert table.condemn(before_ms=99, now_ms=99) == []
-    assert [update.state for update in table.condemn(before_ms=100, now_ms=100)] == [
-        "dead"
-    ]
-    assert table.condemn(before_ms=1_000, now_ms=1_000) == []
+    assert table.expire_suspects(before_ms=99, now_ms=99) == []
+    assert [
+        update.state for update in table.expire_suspects(before_ms=100, now_ms=100)
+    ] == ["dead"]
+    assert table.expire_suspects(before_ms=1_000, now_ms=1_000) == []
 
 
 def test_silent_leaving_member_is_condemned_too():
     # Guards against a member that said it leaves and then died in the table for ever.
     table = create_table(create_update("a", state="leaving"))
     assert not table.accuse("a", now_ms=0)
-    assert [update.state for update in table.condemn(before_ms=0, now_ms=0)] == ["dead"]
+    assert [
+        update.state for update in table.expire_suspects(before_ms=0, now_ms=0)
+    ] == ["dead"]
 
 
 def test_dead_members_are_forgotten_after_a_while():
@@ -150,7 +152,7 @@
     assert sorted(rounds.pick_targets(table)[-1] for _ in names) == names
     table.accuse("m3", now_ms=0)
     assert "m3" in rounds.pick_targets(table)
-    table.condemn(before_ms=0, now_ms=0)
+    table.expire_suspects(before_ms=0, now_ms=0)
     picked = [rounds.pick_targets(table) for _ in range(DEAD_PROBE_PERIODS)]
     assert sum("m3" in targets[:-1] for targets in picked) == 1
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -138,13 +138,13 @@
     ],
     "other_target": [create_frame(target="three")],
     "own_name": [create_frame(sender="one")],
-    "unknown_sender": [create_frame(sender="stranger")],
+    "unknown_sender": [create_frame(sender="other")],
 }
 
 
 @pytest.mark.parametrize("reason", BAD_FRAMES)
 def test_bad_frames_are_dropped_counted_and_logged_once(pair, reason, monkeypatch):
-    # Guards against a stranger that stops the listener or fills the log.
+    # Guards against an unknown sender that stops the listener or fills the log.
     one, two = pair
     lines = []
     monkeypatch.setattr(
@@ -217,7 +217,7 @@
     assert numbers == list(range(numbers[0], 24))
 
 
-def test_strangers_take_bounded_memory(pair, monkeypatch):
+def test_made_up_senders_take_bounded_memory(pair, monkeypatch):
     one, _ = pair
     monkeypatch.setattr("gooseberrymux.peers.LINKS_LIMIT", 1)
     update = create_update("new")
