--- a/packages/gooseberrystand/src/gooseberrystand/slopes/__main__.py
+++ b/packages/gooseberrystand/src/gooseberrystand/slopes/__main__.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 
-from gooseberrystand.slopes import idle, work
+from gooseberrystand.slopes import idle, propagation, work
 from gooseberrystand.slopes.fit import describe_series
 
 MEASUREMENTS = {
@@ -14,6 +14,7 @@
     "change_sizes": work.measure_change_sizes,
     "subrequests": work.measure_subrequests,
     "orders": work.measure_orders,
+    "propagation": propagation.measure_propagation,
 }
 
 
