Hedge after at most two medians instead of three

Cause: with 2 % stragglers over 20 s, hedges sent after three medians came late for the sub-requests queued behind a straggler, which holds one of two slots for 400 ms.

--- a/packages/gooseberrymux/src/gooseberrymux/latency.py
+++ b/packages/gooseberrymux/src/gooseberrymux/latency.py
@@ -26,7 +26,7 @@
 # A hedge never waits longer than this many medians. Where stragglers and the work
 # that queues behind them make up about the tail beyond the quantile, the quantile
 # jumps to a straggler's time and hedges would come too late; the median stays.
-MEDIAN_FACTOR = 3.0
+MEDIAN_FACTOR = 2.0
 # A quantile costs a scan of the buckets; one scan serves this many records.
 QUANTILE_REFRESH_SAMPLES = 16
 # 3 ranks of 1,000 services take about 2 MB.
