Count every dispatch towards a rank's floor

Cause: in a patient flood, patient work earned credit whenever an urgent item waited and paid nothing for the dispatches it got while alone, so about every tenth urgent item waited for one more patient item although patient work was far above its floor. Ruled out: hedges and retries, 0.7 % extra load. A debt that outlives an idle rank was tried and dropped: test_a_rank_that_was_idle_has_no_credit refuses it. test_floors_do_not_delay_urgent_work_in_a_patient_flood failed before.

--- a/packages/gooseberrymux/src/gooseberrymux/schedule.py
+++ b/packages/gooseberrymux/src/gooseberrymux/schedule.py
@@ -9,6 +9,10 @@
 
 RANKS = tuple(Rank)
 
+# A rank owes at most this many dispatches for what it got while no other waited, so
+# that its floor holds soon after an urgent flood begins.
+DEBT_LIMIT = 1.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Strict:
@@ -157,17 +161,14 @@
         return chosen
 
     def _choose_with_floors(self, waiting: list[Rank], floors: dict) -> Rank:
-        if len(waiting) == 1:
-            return waiting[0]
         shares = share_floors(floors, waiting)
         for rank in waiting:
             self._credits[rank] += shares[rank]
         due = [rank for rank in waiting if self._credits[rank] >= 1.0]
         chosen = due[0] if due else waiting[0]
-        # Only a floor's own credit is spent, so that strict dispatches of a rank
-        # never push it below its floor.
-        if self._credits[chosen] >= 1.0:
-            self._credits[chosen] -= 1.0
+        # Each dispatch counts towards the floor. In a patient flood the lower ranks
+        # have far more than their floor, so they must not delay urgent work for it.
+        self._credits[chosen] = max(-DEBT_LIMIT, self._credits[chosen] - 1.0)
         return chosen
 
 
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -162,3 +162,16 @@
             assert ahead == real
         case _:
             assert ahead <= real * 1.12 + 12
+
+
+def test_floors_do_not_delay_urgent_work_in_a_patient_flood():
+    # Guards against floor credit that patient work earns while it has the upstream to
+    # itself: it delayed urgent items although patient work was far above its floor.
+    queue = create_queue(FLOORS)
+    for number in range(200):
+        queue.put(Rank.PATIENT, f"patient-{number}")
+    for round_number in range(30):
+        for _ in range(4):
+            assert queue.take().startswith("patient")
+        queue.put(Rank.URGENT, f"urgent-{round_number}")
+        assert queue.take() == f"urgent-{round_number}"
