Say each refusal's HTTP form, and the limit on threads, in one place

The two APIs of callers each had a create_refusal with a status table of its own; both now use refusals.py, so an order's refusal also carries Retry-After where it has a hint. The check that api.threads exceeds the ranks' limits stood in the settings and again in admission; the settings keep it, and admission's test of it passes unchanged. The choice between admitting and routing a request no longer goes through an empty response.

--- a/packages/gooseberrymux/src/gooseberrymux/admission.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admission.py
@@ -8,7 +8,6 @@
 
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.records import Rank, Refusal, RunState
-from gooseberrymux.settings import SettingsError
 
 # Weight of the newest request in the average duration of a rank.
 DURATION_WEIGHT = 0.1
@@ -60,15 +59,6 @@
             for rank in Rank
         }
         self._lock = threading.Lock()
-        total = sum(gate.limit for gate in self._gates.values())
-        threads = kernel.settings.api.threads
-        if total >= threads:
-            raise SettingsError(
-                step="settings.check",
-                message=f"api.threads: {threads}: expected more than the ranks' "
-                f"request_limit together ({total}), so that requests over the limit "
-                "can be read and refused",
-            )
 
     def start(self) -> None:
         """Nothing to start."""
--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -1,7 +1,6 @@
 """Caller API over HTTP and JSON: query, order, health, metrics."""
 
 import dataclasses
-import math
 import threading
 from typing import Annotated
 
@@ -17,14 +16,12 @@
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.order_api import ORDER_PATH, OrderBody, OrderEndpoints
 from gooseberrymux.queries import Queries
-from gooseberrymux.records import Answer, Query, Rank, Refusal, Traffic
+from gooseberrymux.records import Answer, Query, Rank, Traffic
+from gooseberrymux.refusals import create_refusal
 from gooseberrymux.snapshots import Snapshots
 from gooseberrymux.tokens import authenticate
 from gooseberrymux.web import Request, Response
 
-REFUSAL_STATUS = {"no_route": 404, "overloaded": 429, "deadline_expired": 504}
-MS_PER_S = 1000
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class QueryBody:
@@ -109,9 +106,8 @@
 
     def handle(self, request: Request) -> Response:
         """Answers one request."""
-        response = self._admit(request) if request.method == "POST" else None
-        if response is None:
-            response = self._route(request)
+        answer = self._admit if request.method == "POST" else self._route
+        response = answer(request)
         if self._leaving:
             # Callers' pools then open their next connection elsewhere.
             headers = {**response.headers, "Connection": "close"}
@@ -296,18 +292,3 @@
         },
         "hits": answer.hits,
     }
-
-
-def create_refusal(refusal: Refusal) -> Response:
-    """Returns the typed error of a refusal, with the hint when to try again."""
-    response = web.create_error(
-        status=REFUSAL_STATUS.get(refusal.code, 503),
-        code=refusal.code,
-        message=refusal.message,
-        run_state=refusal.run_state.value,
-    )
-    if refusal.retry_after_ms is None:
-        return response
-    # The header counts whole seconds.
-    seconds = math.ceil(refusal.retry_after_ms / MS_PER_S)
-    return dataclasses.replace(response, headers={"Retry-After": str(seconds)})
--- a/packages/gooseberrymux/src/gooseberrymux/order_api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/order_api.py
@@ -6,11 +6,10 @@
 from result import Err, Ok, Result
 
 from gooseberrymux import web
-from gooseberrymux.attempts import CODE_DEADLINE
 from gooseberrymux.calls import Calls
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.keys import CODE_IN_FUTURE, CODE_MALFORMED, CODE_TOO_OLD, parse_key
-from gooseberrymux.orders import CODE_KEY_REUSED, Orders
+from gooseberrymux.keys import parse_key
+from gooseberrymux.orders import Orders
 from gooseberrymux.records import (
     LookedUpOutcome,
     Order,
@@ -20,20 +19,12 @@
     OrderUnknown,
     OutcomeUnavailable,
     Rank,
-    Refusal,
     Traffic,
 )
+from gooseberrymux.refusals import create_refusal
 from gooseberrymux.web import Request, Response
 
 ORDER_PATH = "/v1/order"
-STATUS = {
-    CODE_MALFORMED: 400,
-    CODE_TOO_OLD: 422,
-    CODE_IN_FUTURE: 422,
-    CODE_KEY_REUSED: 422,
-    "no_route": 404,
-    CODE_DEADLINE: 504,
-}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -139,13 +130,3 @@
             )
         case OutcomeUnavailable():
             return create_refusal(outcome.refusal)
-
-
-def create_refusal(refusal: Refusal) -> Response:
-    """Returns the typed error of a refusal."""
-    return web.create_error(
-        status=STATUS.get(refusal.code, 503),
-        code=refusal.code,
-        message=refusal.message,
-        run_state=refusal.run_state.value,
-    )
