--- a/packages/gooseberrymux/src/gooseberrymux/budgets.py
+++ b/packages/gooseberrymux/src/gooseberrymux/budgets.py
@@ -1,5 +1,6 @@
 """Hedge and retry budgets of each rank, as a share of its first sub-requests."""
 
+import collections
 import threading
 
 from gooseberrymux.records import Rank
@@ -84,3 +85,41 @@
             own.spend()
             extra.spend()
             return True
+
+
+class WindowBudget:
+    """Extra sends to one service, bounded in every window of a fixed length.
+
+    In any window the extra sends are at most a share of the first sends plus a slack.
+    Each owner counts for itself: the share of what several owners see adds up to the
+    share of the whole, and the slack of each is a part of the whole slack.
+
+    Not thread-safe: the pool that owns it holds its lock around each call.
+    """
+
+    __slots__ = ("_share", "_slack", "_window_ms", "_firsts", "_extras")
+
+    def __init__(self, *, share: float, slack: float, window_ms: float):
+        self._share = share
+        self._slack = slack
+        self._window_ms = window_ms
+        self._firsts: collections.deque[float] = collections.deque()
+        self._extras: collections.deque[float] = collections.deque()
+
+    def count_first(self, now_ms: float) -> None:
+        """Notes the first send of a request."""
+        self._firsts.append(now_ms)
+
+    def take_extra(self, now_ms: float) -> bool:
+        """Notes an extra send; returns False if the budget is used up."""
+        self._forget(now_ms - self._window_ms)
+        allowed = self._share * len(self._firsts) + self._slack
+        if len(self._extras) + 1 > allowed:
+            return False
+        self._extras.append(now_ms)
+        return True
+
+    def _forget(self, before_ms: float) -> None:
+        for times in (self._firsts, self._extras):
+            while times and times[0] < before_ms:
+                times.popleft()
--- a/packages/gooseberrymux/src/gooseberrymux/codec.py
+++ b/packages/gooseberrymux/src/gooseberrymux/codec.py
@@ -6,6 +6,7 @@
 from result import Err, Ok, Result
 
 from gooseberrymux.errors import MuxError
+from gooseberrymux.forward_messages import FORWARD_TYPES
 from gooseberrymux.messages import MESSAGE_TYPES
 
 FORMAT_VERSION = 1
@@ -46,7 +47,9 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _frame_decoder = msgspec.msgpack.Decoder(_Frame)
-_decoders = {cls.__name__: msgspec.msgpack.Decoder(cls) for cls in MESSAGE_TYPES}
+_decoders = {
+    cls.__name__: msgspec.msgpack.Decoder(cls) for cls in MESSAGE_TYPES + FORWARD_TYPES
+}
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -42,9 +42,6 @@
 from gooseberrymux.platform import Platform, PlatformObject, WatchedChanges
 from gooseberrymux.records import InstanceIdentity
 
-WATCHED_PREFIXES = ("configuration/", "index/", "instances")
-# Without this document an instance is not ready, and asks its peers more often.
-FIRST_DOCUMENT = "configuration/current"
 # Pause after the first read. An instance that knows no other yet takes itself for a
 # watcher, and each start would hold a watch on each prefix until its timeout.
 MEMBERS_WAIT_MS = 200
@@ -87,6 +84,8 @@
         "_applying",
         "_changed",
         "_member_changes",
+        "_prefixes",
+        "_needed",
         "_watching",
         "_random",
         "_stopping",
@@ -103,6 +102,8 @@
         self._applying = threading.RLock()
         self._changed = threading.Condition()
         self._member_changes = 0
+        self._prefixes: list[str] = []
+        self._needed: list[str] = []
         self._watching: dict[str, bool] = {}
         self._random = random.Random()
         self._stopping = False
@@ -114,7 +115,7 @@
 
     def start(self) -> None:
         """Starts one thread for each watched prefix and one for the exchange."""
-        for prefix in WATCHED_PREFIXES:
+        for prefix in self._prefixes:
             self._kernel.spawn(
                 name=f"documents.watch.{prefix}",
                 target=lambda prefix=prefix: self._watch(prefix),
@@ -143,6 +144,19 @@
             ),
         }
 
+    def watch_prefix(self, prefix: str, *, needed: str | None = None) -> None:
+        """Has the documents under a prefix followed; call it before the start.
+
+        Args:
+            prefix: Start of the documents' names.
+            needed: A document without which this instance is not ready; until it is
+                known here, peers are asked for it more often.
+        """
+        if prefix not in self._prefixes:
+            self._prefixes.append(prefix)
+        if needed is not None:
+            self._needed.append(needed)
+
     def register_check(self, prefix: str, check: Check) -> None:
         """Sets the check that documents under a prefix must pass to be in force."""
         self._table.register_check(prefix, check)
@@ -328,7 +342,7 @@
 
     def _send_offers(self) -> bool:
         """Offers to the peers of one period; returns whether this is a first start."""
-        starting = self._table.get(FIRST_DOCUMENT) is None
+        starting = any(self._table.get(name) is None for name in self._needed)
         offer = self._table.create_offer()
         for name in choose_exchange_targets(
             peers=self._peers.list_connected(),
--- a/packages/gooseberrymux/src/gooseberrymux/evidence.py
+++ b/packages/gooseberrymux/src/gooseberrymux/evidence.py
@@ -158,6 +158,10 @@
             case NoEvidence():
                 self._release_probe(now_ms)
 
+    def press(self, now_ms: float) -> None:
+        """Makes it look as busy as a shed reply does, for a failure among successes."""
+        self._learn_pressure(1.0, now_ms)
+
     def estimate_ms(
         self, *, record: UpstreamRecord, neutral_ms: float, now_ms: float
     ) -> float:
--- a/packages/gooseberrymux/src/gooseberrymux/inventory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -32,12 +32,12 @@
     )
 
     def __init__(self, *, kernel: Kernel):
-        kernel.find("documents", Documents)
+        kernel.find("documents", Documents).watch_prefix(INVENTORY_NAME)
         self._membership = kernel.find("membership", Membership)
         self._departures = kernel.find("departures", Departures)
         self._upstreams: dict[str, UpstreamRecord] = {}
         # Each sub-request asks for the replicas of one service.
-        self._by_service: dict[str, list[UpstreamRecord]] = {}
+        self._by_service: dict[str, tuple[UpstreamRecord, ...]] = {}
         self._lock = threading.Lock()
         self.last_problem: str | None = None
         kernel.subscribe(DocumentChanged, self._handle_document)
@@ -77,6 +77,10 @@
             and any(group.match.items() <= record.labels.items() for group in groups)
         )
 
+    def list_service(self, service_name: str) -> tuple[UpstreamRecord, ...]:
+        """Returns the upstreams of a service; the same object until they change."""
+        return self._by_service.get(service_name, ())
+
     def _handle_document(self, event: DocumentChanged) -> None:
         if event.name != INVENTORY_NAME:
             return
@@ -93,7 +97,10 @@
             by_service.setdefault(record.service, []).append(record)
         with self._lock:
             self._upstreams = {record.name: record for record in upstreams}
-            self._by_service = by_service
+            self._by_service = {
+                name: keep_equal(self._by_service.get(name, ()), tuple(records))
+                for name, records in by_service.items()
+            }
         self._departures.update_list(
             {record.name: record.epoch for record in upstreams},
             {
@@ -104,3 +111,10 @@
         )
         for record in instances:
             self._membership.learn(record)
+
+
+def keep_equal(
+    known: tuple[UpstreamRecord, ...], found: tuple[UpstreamRecord, ...]
+) -> tuple[UpstreamRecord, ...]:
+    """Returns the known records if the found ones are the same."""
+    return known if known == found else found
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -161,12 +161,12 @@
         """Whether nothing is queued or being sent, or nothing can be."""
         return not self._up or (not self._items and not self._sending)
 
-    def put(self, message: object, *, awaited: bool, despite_loss: bool) -> str | None:
+    def put(self, message: object, *, awaited: int, despite_loss: bool) -> str | None:
         """Queues a message; returns why not, or None.
 
         Args:
             message: The message.
-            awaited: Whether the peer owes an answer to it.
+            awaited: Answers that the peer owes to it; negative if it ends some.
             despite_loss: Whether it goes out on a lost link too, as a probe does.
         """
         with self._changed:
@@ -178,7 +178,7 @@
                 return REFUSED_FULL
             self._items.append(message)
             self._exposed = self._exposed or not despite_loss
-            self._awaited += awaited
+            self._awaited = max(0, self._awaited + awaited)
             self._changed.notify_all()
             return None
 
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -46,6 +46,24 @@
 leaving_upstreams = Gauge(
     "gooseberrymux_leaving_upstreams", "Upstreams with a leaving notice."
 )
+callers_left_total = Counter(
+    "gooseberrymux_callers_left_total", "Callers that left before their answer."
+)
+forwards_total = Counter(
+    "gooseberrymux_forwards_total", "Forwarded requests by route, rank and status."
+)
+forward_ms = Histogram(
+    "gooseberrymux_forward_ms",
+    "Time to answer a forwarded request in milliseconds, by rank.",
+    buckets=LATENCY_BUCKETS_MS,
+)
+sends_total = Counter(
+    "gooseberrymux_sends_total",
+    "Forwarded requests sent to upstreams, by cause (first, hedge, retry) and outcome.",
+)
+upstream_connections_total = Counter(
+    "gooseberrymux_upstream_connections_total", "Connections opened to upstreams."
+)
 faults_total = Counter("gooseberrymux_faults_total", "Faults by step.")
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/ownership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/ownership.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing of upstreams, claim ranges and watchers over live instances."""
 
 import hashlib
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from gooseberrymux.records import InstanceRecord, UpstreamRecord
 
@@ -45,7 +45,29 @@
     Members of the upstream's own failure domain go first, so that the exchange with
     the upstream stays within it; without any, all members take part.
     """
-    near = [
-        member for member in members if member.failure_domain == upstream.failure_domain
-    ]
-    return rank_members(key=upstream.name, members=near or members, count=count)
+    return rank_service_owners(
+        key=upstream.name,
+        domains={upstream.failure_domain},
+        members=members,
+        count=count,
+    )
+
+
+def rank_service_owners(
+    *,
+    key: str,
+    domains: Collection[str],
+    members: Sequence[InstanceRecord],
+    count: int,
+) -> tuple[InstanceRecord, ...]:
+    """Returns the `count` best owners of what runs in some failure domains.
+
+    Args:
+        key: What is owned.
+        domains: Its failure domains; members there go first, and without any there
+            all members take part.
+        members: The live members.
+        count: How many.
+    """
+    near = [member for member in members if member.failure_domain in domains]
+    return rank_members(key=key, members=near or members, count=count)
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -16,6 +16,11 @@
 from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, decode_envelope
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.errors import MuxError
+from gooseberrymux.forward_messages import (
+    PART_OUTCOME_TYPES,
+    CancelForward,
+    ForwardCall,
+)
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.links import BATCH_LIMIT, Link, Loss
 from gooseberrymux.messages import (
@@ -227,9 +232,10 @@
             self._start_link(link)
         refused = link.put(
             message,
-            awaited=isinstance(message, AWAITED_TYPES),
+            awaited=count_awaited(message),
             # A frozen peer that wakes up finds the cancel behind the request.
-            despite_loss=despite_loss or isinstance(message, CancelSubrequest),
+            despite_loss=despite_loss
+            or isinstance(message, CancelSubrequest | CancelForward),
         )
         if refused:
             self._drops.record(reason="not_sent", step="peers.send", peer=name)
@@ -345,7 +351,7 @@
             name=envelope.sender, incarnation=envelope.sender_incarnation
         )
         for message in envelope.messages:
-            if isinstance(message, ANSWER_TYPES):
+            if isinstance(message, ANSWER_TYPES + PART_OUTCOME_TYPES):
                 link.mark_answered()
             self._handle(sender, message)
 
@@ -417,6 +423,17 @@
         )
 
 
+def count_awaited(message: object) -> int:
+    """Returns how many answers a message asks for; negative if it ends some."""
+    match message:
+        case ForwardCall(services=services):
+            return len(services)
+        case CancelForward(services=services):
+            return -len(services)
+        case _:
+            return int(isinstance(message, AWAITED_TYPES))
+
+
 def list_updates(messages: list) -> list[MemberUpdate]:
     """Returns the member updates that probe messages carry."""
     return [
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -0,0 +1,142 @@
+"""Owner side of forwarded requests: a pool for each service that is owned here."""
+
+import threading
+
+from gooseberrymux import metrics
+from gooseberrymux.forward_messages import (
+    CancelForward,
+    ForwardCall,
+    PartNotRun,
+    PartOutcome,
+)
+from gooseberrymux.inventory import Inventory
+from gooseberrymux.kernel import Kernel, LeaveStarted, service
+from gooseberrymux.peers import Peers
+from gooseberrymux.pool import REASON_LEAVING, Pool, Reply, Tools
+from gooseberrymux.records import InstanceIdentity
+from gooseberrymux.routes import Routes
+from gooseberrymux.timers import Timers
+from gooseberrymux.usual_times import UsualTimes
+
+
+@service("pools", requires=("peers", "inventory", "routes", "timers"))
+class Pools:
+    """The pools of this instance, opened with the first request of their service."""
+
+    __slots__ = (
+        "_kernel",
+        "_peers",
+        "_routes",
+        "_tools",
+        "_pools",
+        "_lock",
+        "_leaving",
+    )
+
+    def __init__(self, *, kernel: Kernel):
+        self._kernel = kernel
+        self._peers = kernel.find("peers", Peers)
+        self._routes = kernel.find("routes", Routes)
+        self._tools = Tools(
+            kernel=kernel,
+            inventory=kernel.find("inventory", Inventory),
+            timers=kernel.find("timers", Timers),
+            times=UsualTimes(),
+            get_connections=self._get_connections,
+        )
+        self._pools: dict[str, Pool] = {}
+        self._lock = threading.Lock()
+        self._leaving = False
+        self._peers.register(ForwardCall, self._handle_call)
+        self._peers.register(CancelForward, self._handle_cancel)
+        kernel.subscribe(LeaveStarted, self._handle_leave)
+
+    def start(self) -> None:
+        """Nothing to start: pools open with their first request."""
+
+    def drain(self, deadline_ms: float) -> None:
+        """Finishes what is under way for other instances."""
+        self._kernel.wait_until(
+            lambda: all(not pool.pending for pool in list(self._pools.values())),
+            deadline_ms,
+        )
+
+    def stop(self) -> None:
+        """Ends the idle connections."""
+        for pool in list(self._pools.values()):
+            pool.close()
+
+    def describe(self) -> dict:
+        """Returns the state of each pool for the status."""
+        return {name: pool.describe() for name, pool in list(self._pools.items())}
+
+    def submit(self, call: ForwardCall, reply: Reply, *, requester: str = "") -> None:
+        """Sends a request to an upstream of each of its services.
+
+        Args:
+            call: The request.
+            reply: Called once for each service, from any thread; must not block.
+            requester: Instance that may cancel it; empty for this one.
+        """
+        for name in call.services:
+            if self._leaving and requester:
+                reply(refuse_leaving(call, name, self._peers.identity.name))
+            else:
+                self._open_pool(name).submit(
+                    call=call, reply=reply, requester=requester
+                )
+
+    def cancel(self, message: CancelForward, *, requester: str = "") -> None:
+        """Drops the services of a call whose outcomes are no longer wanted."""
+        for name in message.services:
+            pool = self._pools.get(name)
+            if pool is not None:
+                pool.cancel(message.id, requester=requester)
+
+    def _get_connections(self, service_name: str) -> int | None:
+        table = self._routes.get_current()
+        return table.connections.get(service_name) if table else None
+
+    def _open_pool(self, name: str) -> Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            with self._lock:
+                pool = self._pools.get(name)
+                if pool is None:
+                    pool = self._pools[name] = Pool(service=name, tools=self._tools)
+        return pool
+
+    def _handle_leave(self, event: LeaveStarted) -> None:
+        # The entries learned from membership that this instance is leaving before
+        # they get these back, so they go to the next owner.
+        self._leaving = True
+        for pool in list(self._pools.values()):
+            pool.hand_back()
+
+    def _handle_call(self, sender: InstanceIdentity, message: object) -> None:
+        assert isinstance(message, ForwardCall)
+
+        def send_outcome(outcome: PartOutcome) -> None:
+            if self._peers.get_incarnation(sender.name) == sender.incarnation:
+                self._peers.send(sender.name, outcome)
+            else:
+                metrics.dropped_total.inc({"reason": "requester_restarted"})
+            if self._kernel.is_draining:
+                self._kernel.wake()
+
+        self.submit(message, send_outcome, requester=sender.name)
+
+    def _handle_cancel(self, sender: InstanceIdentity, message: object) -> None:
+        assert isinstance(message, CancelForward)
+        self.cancel(message, requester=sender.name)
+
+
+def refuse_leaving(call: ForwardCall, service_name: str, own_name: str) -> PartNotRun:
+    """Returns the outcome of a call that arrives during a planned stop."""
+    return PartNotRun(
+        call=call.id,
+        service=service_name,
+        reason=REASON_LEAVING,
+        step="pools.submit",
+        peer=own_name,
+    )
--- /dev/null
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -0,0 +1,190 @@
+"""The upstreams of one service at its owner: who may get work, and who is best."""
+
+from collections.abc import Callable, Collection
+
+from gooseberrymux.connections import Connection, Finish
+from gooseberrymux.forward_exchange import ForwardExchange
+from gooseberrymux.inventory import Inventory
+from gooseberrymux.kernel import Kernel
+from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.replicas import Replica
+
+UNLIMITED = 1 << 16
+
+
+class ReplicaSet:
+    """Follows the platform's list and chooses. Not thread-safe: its pool locks."""
+
+    __slots__ = (
+        "_service",
+        "_kernel",
+        "_inventory",
+        "_get_connections",
+        "_records",
+        "_replicas",
+        "_spawned",
+    )
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        kernel: Kernel,
+        inventory: Inventory,
+        get_connections: Callable[[str], int | None],
+    ):
+        self._service = service
+        self._kernel = kernel
+        self._inventory = inventory
+        self._get_connections = get_connections
+        self._records: tuple[UpstreamRecord, ...] = ()
+        self._replicas: dict[str, Replica] = {}
+        self._spawned = 0
+
+    @property
+    def names(self) -> list[str]:
+        """Names of all upstreams."""
+        return sorted(self._replicas)
+
+    def describe(self, now_ms: float) -> dict:
+        """Returns the state of each upstream for the status."""
+        return {
+            name: {
+                "under_way": len(replica.under_way),
+                "slowness": round(replica.get_slowness(now_ms), 2),
+                "stalled": replica.is_stalled(now_ms),
+                "state": type(replica.evidence.state).__name__,
+            }
+            for name, replica in self._replicas.items()
+        }
+
+    def refresh(self) -> None:
+        """Follows the list of upstreams."""
+        records = self._inventory.list_service(self._service)
+        if records is self._records:
+            return
+        self._records = records
+        before, self._replicas = self._replicas, {}
+        for record in records:
+            known = before.pop(record.name, None)
+            if known is not None and is_same_run(known.record, record):
+                known.record = record
+            elif known is not None:
+                known.close_idle()
+                known = None
+            self._replicas[record.name] = known or Replica(record=record)
+        for replica in before.values():
+            replica.close_idle()
+
+    def close(self) -> None:
+        """Closes all idle connections."""
+        for replica in self._replicas.values():
+            replica.close_idle()
+
+    def list_usable(self, now_ms: float, but: Collection[str] = ()) -> list[Replica]:
+        """Returns the upstreams that may get work, now or once they have room.
+
+        Args:
+            now_ms: Monotonic time in milliseconds.
+            but: Names of upstreams that are left out.
+        """
+        return [
+            replica
+            for name, replica in self._replicas.items()
+            if name not in but
+            and not replica.is_ejected(now_ms)
+            and not self._inventory.is_leaving(replica.record)
+        ]
+
+    def has_room(self, now_ms: float) -> bool:
+        """Returns whether any upstream can take a request at once."""
+        limit = self._limit
+        return any(replica.has_room(limit) for replica in self.list_usable(now_ms))
+
+    def count_slots(self, now_ms: float) -> int:
+        """Returns the slots of all usable upstreams."""
+        return sum(replica.record.slots for replica in self.list_usable(now_ms))
+
+    def choose(
+        self, *, tried: Collection[str], may_probe: bool, now_ms: float
+    ) -> Replica | None:
+        """Returns the best upstream with room; None to wait for a better one.
+
+        Args:
+            tried: Upstreams that the request was sent to before.
+            may_probe: Whether the request may find out if an upstream has recovered.
+            now_ms: Monotonic time in milliseconds.
+        """
+        usable = self.list_usable(now_ms, tried)
+        free = [replica for replica in usable if replica.has_room(self._limit)]
+        if may_probe:
+            for replica in free:
+                if replica.is_probe_due(now_ms):
+                    return replica
+        sound = [replica for replica in usable if replica.is_sound(now_ms)]
+        among = [replica for replica in sound if replica in free]
+        if not among and sound:
+            # The wait for a sound one is shorter than a stalled or slow one takes.
+            return None
+        among = among or [r for r in free if not r.is_stalled(now_ms)]
+        domain = self._kernel.settings.instance.failure_domain
+        return min(
+            among,
+            key=lambda replica: replica.estimate(now_ms=now_ms, domain=domain),
+            default=None,
+        )
+
+    def open_connection(
+        self,
+        replica: Replica,
+        *,
+        finish: Finish,
+        drop_idle: Callable[[Replica, Connection], bool],
+    ) -> Connection:
+        """Returns an idle connection to an upstream, or a new one with its thread.
+
+        Args:
+            replica: The upstream.
+            finish: Gets the result of each exchange.
+            drop_idle: Asked before the connection ends for idleness.
+        """
+        if replica.idle:
+            return replica.idle.pop()
+        connection = Connection(
+            exchange=ForwardExchange(
+                record=replica.record,
+                clock=self._kernel.clock,
+                names=self._kernel.settings.gateway.headers,
+            ),
+            clock=self._kernel.clock,
+            finish=finish,
+        )
+        self._spawned += 1
+        self._kernel.spawn(
+            name=f"pool.{replica.record.name}.{self._spawned}",
+            target=lambda: connection.serve(lambda: drop_idle(replica, connection)),
+        )
+        return connection
+
+    def keep(self, replica: Replica, connection: Connection) -> None:
+        """Takes back a connection whose exchange has ended."""
+        if self._replicas.get(replica.record.name) is replica:
+            replica.idle.append(connection)
+        else:
+            connection.close()
+
+    def drop(self, replica: Replica, connection: Connection) -> bool:
+        """Lets an idle connection end; returns False if it has work."""
+        if connection not in replica.idle:
+            return False
+        replica.idle.remove(connection)
+        return True
+
+    @property
+    def _limit(self) -> int:
+        return self._get_connections(self._service) or UNLIMITED
+
+
+def is_same_run(one: UpstreamRecord, other: UpstreamRecord) -> bool:
+    """Returns whether two records are of one run of an upstream."""
+    return (one.epoch, one.host, one.port) == (other.epoch, other.host, other.port)
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -27,7 +27,8 @@
 
 Name = Annotated[str, pydantic.Field(min_length=1, max_length=128)]
 Host = Annotated[str, pydantic.AfterValidator(check_host)]
-Port = Annotated[int, pydantic.Field(ge=0, le=65_535)]
+PORT_LIMIT = 65_535
+Port = Annotated[int, pydantic.Field(ge=0, le=PORT_LIMIT)]
 Count = Annotated[int, pydantic.Field(ge=1)]
 DurationMs = Annotated[int, pydantic.Field(ge=1)]
 Share = Annotated[float, pydantic.Field(ge=0, le=1)]
@@ -52,6 +53,23 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_address(value: object) -> object:
+    """Returns the address of a text `host:port`; anything else is left as it is.
+
+    Raises:
+        ValueError: The text is no IP number and port.
+    """
+    if not isinstance(value, str):
+        return value
+    host, _, port = value.rpartition(":")
+    if not port.isdecimal() or int(port) > PORT_LIMIT:
+        raise ValueError("expected host:port")
+    return Address(host=check_host(host), port=int(port))
+
+
+AddressField = Annotated[Address, pydantic.BeforeValidator(parse_address)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class InstanceSettings:
     """Who this instance is and where it listens."""
@@ -61,9 +79,9 @@
     name: Name
     failure_domain: Name
     region: Name = "default"
-    callers: Address
-    administration: Address
-    peers: Address
+    callers: AddressField
+    administration: AddressField
+    peers: AddressField
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -146,7 +164,7 @@
     probe_timeout_ms: DurationMs = 250
     suspect_ms: DurationMs = 700
     exchange_period_ms: DurationMs = 1_000
-    seeds: list[Address] = dataclasses.field(default_factory=list)
+    seeds: list[AddressField] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -161,6 +179,57 @@
     commit_timeout_ms: DurationMs = 2_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeaderNames:
+    """Names of the headers that forwarded requests and their replies carry.
+
+    Attributes:
+        request_id: Caller's id of the request; passed on and echoed by upstreams.
+        deadline_ms: Milliseconds that the sender still waits.
+        target: Upstream that a request is meant for; any other refuses it.
+        upstream: Upstream that replied.
+        proof: Opaque proof of an upstream's reply.
+        not_run: Present if the upstream did not run the request.
+        part_proofs: Proofs of the replies that a merged answer holds.
+        missing_parts: Number of shards that a merged answer leaves out.
+    """
+
+    __pydantic_config__ = STRICT
+
+    request_id: Name = "X-Request-Id"
+    deadline_ms: Name = "X-Deadline-Ms"
+    target: Name = "X-Target-Upstream"
+    upstream: Name = "X-Upstream"
+    proof: Name = "X-Reply-Proof"
+    not_run: Name = "X-Not-Run"
+    part_proofs: Name = "X-Part-Proofs"
+    missing_parts: Name = "X-Missing-Parts"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GatewaySettings:
+    """Where forwarded requests arrive, and the names of their headers."""
+
+    __pydantic_config__ = STRICT
+
+    callers: AddressField
+    health: AddressField
+    headers: HeaderNames
+    request_limit: Count = 256
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ForwardingSettings:
+    """How forwarded requests are sent, sent again and answered."""
+
+    __pydantic_config__ = STRICT
+
+    extra_share: Share = 0.2
+    extra_slack: Count = 54
+    extra_window_ms: DurationMs = 10_000
+    queue_limit: Count = 256
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
     """All settings of one instance."""
@@ -174,6 +243,8 @@
     ranks: RanksSettings
     membership: MembershipSettings
     orders: OrderSettings
+    gateway: GatewaySettings
+    forwarding: ForwardingSettings
     services: list[str]
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/snapshots.py
+++ b/packages/gooseberrymux/src/gooseberrymux/snapshots.py
@@ -45,6 +45,7 @@
 
     def __init__(self, *, kernel: Kernel):
         documents = kernel.find("documents", Documents)
+        documents.watch_prefix(INDEX_PREFIX)
         documents.register_check(INDEX_PREFIX, check_document)
         self._current: dict[str, Snapshot] = {}
         self._lock = threading.Lock()
--- a/packages/gooseberrystand/src/gooseberrystand/client.py
+++ b/packages/gooseberrystand/src/gooseberrystand/client.py
@@ -53,6 +53,14 @@
         except (urllib3.exceptions.HTTPError, ValueError) as error:
             return HttpReply(status=0, body={"error": repr(error)})
 
+    def read_text(self, url: str) -> str:
+        """Returns the body of a page, empty if the connection broke."""
+        try:
+            reply = self._http.request("GET", url, timeout=CALL_TIMEOUT_S)
+        except urllib3.exceptions.HTTPError:
+            return ""
+        return reply.data.decode()
+
     def control(
         self, method: str, port: int, path: str, body: dict | None = None
     ) -> dict:
--- a/packages/gooseberrystand/src/gooseberrystand/fleet.py
+++ b/packages/gooseberrystand/src/gooseberrystand/fleet.py
@@ -126,6 +126,8 @@
             upstream.child.wait_until_up()
         for instance in self.instances.values():
             self.wait_until_ready(instance)
+        for instance in self.instances.values() if instances > 1 else ():
+            self.wait_until_joined(instance, members=instances)
 
     def stop(self) -> dict[str, int]:
         """Stops instances gracefully, then the stand-ins; returns exit codes."""
@@ -221,6 +223,24 @@
             message=f"not ready: {instance.child.log_path.read_text()[-500:]}",
         )
 
+    def wait_until_joined(self, instance: InstanceProcess, *, members: int) -> None:
+        """Waits until an instance knows `members` live members, itself included.
+
+        Until then it may take itself for the owner of upstreams that others own.
+        """
+        wanted = f'gooseberrymux_members{{state="alive"}} {members}'
+        until_ms = self.clock.now_ms() + START_TIMEOUT_MS
+        while self.clock.now_ms() < until_ms and instance.child.running:
+            if wanted in self.client.read_text(f"{instance.url}/metrics"):
+                return
+            # Membership announces itself to nobody outside the fleet.
+            self.clock.sleep_ms(READY_POLL_MS)
+        raise FleetError(
+            step="fleet.start",
+            peer=instance.name,
+            message=f"does not know {members} members",
+        )
+
     # Upstreams.
 
     def add_upstream(
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -128,6 +128,9 @@
         self.checks = {}
         self.problems = []
 
+    def watch_prefix(self, prefix, needed=None):
+        pass
+
     def register_check(self, prefix, check):
         self.checks[prefix] = check
 
