--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -37,6 +37,7 @@
 JOIN_PROBES = 16
 DEAD_RETENTION_MS = 600_000
 SEED_PREFIX = "seed "
+STATE_LISTED = "listed"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -408,8 +409,11 @@
 
 
 def count_states(members: tuple[MemberUpdate, ...]) -> dict[str, int]:
-    """Returns the number of members in each state."""
-    counts = {state.value: 0 for state in MemberState}
+    """Returns the number of members in each state.
+
+    One that only the platform's list names counts as listed until it is heard.
+    """
+    counts = {state.value: 0 for state in MemberState} | {STATE_LISTED: 0}
     for member in members:
-        counts[member.state.value] += 1
+        counts[member.state.value if member.incarnation else STATE_LISTED] += 1
     return counts
