--- a/packages/gooseberrymux/src/gooseberrymux/kernel.py
+++ b/packages/gooseberrymux/src/gooseberrymux/kernel.py
@@ -33,6 +33,13 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SettingsChanged:
+    """Other settings are in force on this instance from now on."""
+
+    settings: Settings
+
+
 class Service(Protocol):
     """What the kernel calls on each service."""
 
@@ -186,6 +193,11 @@
         left = [thread.name for thread in self._threads if thread.is_alive()]
         journal.record_event("kernel.stopped", threads_left=left)
 
+    def change_settings(self, settings: Settings) -> None:
+        """Puts settings in force that a running instance can take over."""
+        self.settings = settings
+        self.publish(SettingsChanged(settings=settings))
+
     def request_stop(self) -> None:
         """Asks for a planned stop; a second call cuts the drain short."""
         with self._changed:
--- a/packages/gooseberrymux/src/gooseberrymux/main.py
+++ b/packages/gooseberrymux/src/gooseberrymux/main.py
@@ -14,11 +14,13 @@
 from gooseberrymux.errors import UserError
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.settings import Settings, load_settings
+from gooseberrymux.settings_file import SettingsFile
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 SIGNALS_READ = 16
 
 app = typer.Typer(help="One entry instance of gooseberrymux.", no_args_is_help=True)
@@ -32,7 +34,7 @@
     """Runs one entry instance until it is told to stop."""
     checked = load_or_exit(settings)
     journal.open_journal(instance=checked.instance.name)
-    failure = run_instance(checked)
+    failure = run_instance(checked, path=settings)
     raise typer.Exit(EXIT_FAILED if failure else EXIT_OK)
 
 
@@ -52,18 +54,26 @@
         raise typer.Exit(EXIT_BAD_SETTINGS) from None
 
 
-def run_instance(settings: Settings) -> str | None:
+def run_instance(settings: Settings, *, path: Path) -> str | None:
     """Runs an instance until a signal or a failure.
 
+    Args:
+        settings: What the settings file holds.
+        path: The settings file, which is followed.
+
     Returns:
         The failure or what cut the drain short; None after a graceful stop.
     """
     clock = Clock()
     kernel = Kernel(settings=settings, clock=clock)
+    file = SettingsFile(path=path, kernel=kernel)
     signals = open_signals()
-    kernel.spawn(name="main.signals", target=lambda: forward_signals(kernel, signals))
+    kernel.spawn(
+        name="main.signals", target=lambda: forward_signals(kernel, file, signals)
+    )
     kernel.load(tuple(settings.services))
     kernel.start()
+    kernel.spawn(name="main.settings", target=file.follow)
     journal.record_event("instance.started", name=settings.instance.name)
     failure = kernel.wait_for_end()
     journal.record_event("instance.stopping", failure=failure)
@@ -73,6 +83,7 @@
         # Threads may be inside requests that nobody waits for any more.
         sys.stderr.flush()
         os._exit(EXIT_FAILED)
+    file.stop()
     kernel.stop()
     journal.record_event("instance.stopped")
     return kernel.failure
@@ -88,19 +99,21 @@
     writer.setblocking(False)
     # Detached, so that it stays open for the life of the process.
     signal.set_wakeup_fd(writer.detach(), warn_on_full_buffer=False)
-    for number in STOP_SIGNALS:
+    for number in (*STOP_SIGNALS, RELOAD_SIGNAL):
         signal.signal(number, lambda number, frame: None)
     return reader
 
 
-def forward_signals(kernel: Kernel, signals: socket.socket) -> None:
-    """Turns each stop signal into a stop request."""
+def forward_signals(kernel: Kernel, file: SettingsFile, signals: socket.socket) -> None:
+    """Turns each signal into a stop request or a look at the settings file."""
     while numbers := signals.recv(SIGNALS_READ):
         for number in numbers:
+            name = signal.Signals(number).name
+            journal.record_event("instance.signal", name=name)
             if number in STOP_SIGNALS:
-                name = signal.Signals(number).name
-                journal.record_event("instance.signal", name=name)
                 kernel.request_stop()
+            elif number == RELOAD_SIGNAL:
+                file.ask()
 
 
 if __name__ == "__main__":
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -10,7 +10,7 @@
 import threading
 
 from gooseberrymux import journal, metrics
-from gooseberrymux.kernel import Kernel, LeaveStarted, service
+from gooseberrymux.kernel import Kernel, LeaveStarted, SettingsChanged, service
 from gooseberrymux.members import MemberTable
 from gooseberrymux.messages import MemberUpdate, Probe, ProbeReply, ProbeRequest
 from gooseberrymux.peers import LinkDown, Peers
@@ -96,11 +96,11 @@
         self._peers.register(ProbeRequest, self._handle_request)
         kernel.subscribe(LinkDown, self._handle_down)
         kernel.subscribe(LeaveStarted, self._handle_leave)
+        kernel.subscribe(SettingsChanged, self._handle_settings)
 
     def start(self) -> None:
         """Contacts the seeds and starts to probe."""
-        for seed in self._kernel.settings.membership.seeds:
-            self._peers.connect(name=f"{SEED_PREFIX}{seed}", address=seed)
+        self._connect_seeds(self._kernel.settings.membership.seeds)
         self._kernel.spawn(name="membership.probe", target=self._probe_members)
 
     def drain(self, deadline_ms: float) -> None:
@@ -321,6 +321,14 @@
                 reason="declared dead",
             )
 
+    def _connect_seeds(self, seeds: list[Address]) -> None:
+        for seed in seeds:
+            if seed != self._kernel.settings.instance.peers:
+                self._peers.connect(name=f"{SEED_PREFIX}{seed}", address=seed)
+
+    def _handle_settings(self, event: SettingsChanged) -> None:
+        self._connect_seeds(event.settings.membership.seeds)
+
     def _contact_seeds(self) -> None:
         seeds = [
             name
