--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -279,6 +279,8 @@
                         if first_read:
                             self._pause(MEMBERS_WAIT_MS)
                             first_read = False
+                        elif advanced:
+                            self._pause(self._kernel.settings.platform.watch_pause_ms)
                         continue
                 case Ok(changes):
                     journal.record_event(
--- a/packages/gooseberrymux/src/gooseberrymux/fanout.py
+++ b/packages/gooseberrymux/src/gooseberrymux/fanout.py
@@ -3,16 +3,20 @@
 import dataclasses
 
 from gooseberrymux.forward_messages import (
+    MergedPart,
     PartNotRun,
     PartOutcome,
     PartReplied,
+    PartsMerged,
     PartUnknown,
 )
+from gooseberrymux.merging import merge_records
 from gooseberrymux.routes import FanoutTarget
 
-RECORD_BYTES = 16
 # Of a fan-out that is late anyway, parts are waited for this many latency targets more.
 LATE_TARGETS = 1.0
+# An answer whose last part arrives this soon after its target is decided as if on time.
+ON_TIME_SLACK_MS = 5.0
 # Parts named in a log line beside those that are missing or were sent again.
 SLOWEST_LOGGED = 3
 
@@ -62,7 +66,8 @@
         "_target_at_ms",
         "_late_at_ms",
         "_deadline_ms",
-        "_replies",
+        "_parts",
+        "_records",
         "_failures",
         "_arrived_ms",
         "may_have_run",
@@ -82,7 +87,8 @@
         late_ms = target_at_ms + LATE_TARGETS * latency_target_ms
         self._late_at_ms = min(deadline_ms, late_ms)
         self._deadline_ms = deadline_ms
-        self._replies: dict[str, PartReplied] = {}
+        self._parts: dict[str, MergedPart] = {}
+        self._records: list[bytes] = []
         self._failures: dict[str, str] = {}
         self._arrived_ms: dict[str, float] = {}
         self.may_have_run = False
@@ -90,14 +96,12 @@
 
     def take(self, outcome: PartOutcome, now_ms: float) -> None:
         """Takes in the outcome of one part."""
-        if outcome.service in self._replies:
-            return
         match outcome:
-            case PartReplied(status=status) if 200 <= status < 300:
-                self.may_have_run = True
-                self._replies[outcome.service] = outcome
-                self._arrived_ms[outcome.service] = now_ms
-                self._failures.pop(outcome.service, None)
+            case PartsMerged(parts=parts, records=records):
+                self._take_merged(parts, records, now_ms)
+            case _ if outcome.service in self._parts:
+                # Another owner has replied meanwhile.
+                return
             case PartReplied(status=status):
                 self.may_have_run = True
                 self._failures[outcome.service] = f"status_{status}"
@@ -108,6 +112,19 @@
                 self.may_have_run = True
                 self._failures[outcome.service] = reason
 
+    def _take_merged(
+        self, parts: list[MergedPart], records: bytes, now_ms: float
+    ) -> None:
+        self.may_have_run = True
+        if any(part.service in self._parts for part in parts):
+            # Their records can't be told from those that are in already.
+            return
+        self._records.append(records)
+        for part in parts:
+            self._parts[part.service] = part
+            self._arrived_ms[part.service] = now_ms
+            self._failures.pop(part.service, None)
+
     def reopen(self, service: str) -> None:
         """Notes that a failed part was sent again."""
         self._failures.pop(service, None)
@@ -118,8 +135,8 @@
         needed = self._target.minimum_share * total
         if total - len(self._failures) < needed:
             return Hopeless()
-        enough = len(self._replies) >= max(1.0, needed)
-        if len(self._replies) + len(self._failures) >= total:
+        enough = len(self._parts) >= max(1.0, needed)
+        if len(self._parts) + len(self._failures) >= total:
             return Complete() if enough else Hopeless()
         if now_ms >= self._deadline_ms:
             return Complete() if enough else Hopeless()
@@ -138,7 +155,7 @@
         return [
             name
             for name in self._target.services
-            if name not in self._replies and name not in self._failures
+            if name not in self._parts and name not in self._failures
         ]
 
     def list_missing(self) -> list[Missing]:
@@ -146,44 +163,30 @@
         return [
             Missing(service=name, reason=self._failures.get(name, "no reply yet"))
             for name in self._target.services
-            if name not in self._replies
+            if name not in self._parts
         ]
 
     def list_proofs(self) -> list[str]:
         """Returns the proofs of the parts that are in."""
-        return [reply.proof for reply in self._replies.values()]
+        return [part.proof for part in self._parts.values()]
 
     def merge(self) -> bytes:
         """Returns the greatest records of the parts that are in, greatest first."""
-        records: list[bytes] = []
-        for reply in self._replies.values():
-            records += split_records(reply.body)
-        records.sort(reverse=True)
-        return b"".join(records[: self._target.top])
+        return merge_records(self._records, top=self._target.top)
 
     def describe_parts(self, started_ms: float) -> list[dict]:
         """Returns the parts worth a look: sent again, or the last to arrive."""
         last = sorted(self._arrived_ms, key=self._arrived_ms.__getitem__)
         names = dict.fromkeys(last[-SLOWEST_LOGGED:])
-        names |= dict.fromkeys(n for n, r in self._replies.items() if r.sends > 1)
+        names |= dict.fromkeys(n for n, p in self._parts.items() if p.sends > 1)
         return [
             {
                 "service": name,
-                "upstream": self._replies[name].upstream,
-                "sends": self._replies[name].sends,
-                "queued_ms": round(self._replies[name].queued_ms, 1),
-                "upstream_ms": round(self._replies[name].upstream_ms, 1),
+                "upstream": self._parts[name].upstream,
+                "sends": self._parts[name].sends,
+                "queued_ms": self._parts[name].queued_ms,
+                "upstream_ms": self._parts[name].upstream_ms,
                 "arrived_ms": round(self._arrived_ms[name] - started_ms, 1),
             }
             for name in names
         ]
-
-
-# An answer whose last part arrives this soon after its target is decided as if on time.
-ON_TIME_SLACK_MS = 5.0
-
-
-def split_records(body: bytes) -> list[bytes]:
-    """Returns the whole records of a part; a shorter rest is no record."""
-    whole = len(body) - len(body) % RECORD_BYTES
-    return [body[at : at + RECORD_BYTES] for at in range(0, whole, RECORD_BYTES)]
--- a/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
@@ -29,6 +29,7 @@
         target: Its path and query.
         headers: Its end-to-end headers.
         body: Its body.
+        top: Greatest records wanted of all parts together; 0 if parts aren't merged.
     """
 
     id: str
@@ -45,6 +46,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     body: bytes = b""
+    top: int = 0
 
 
 @_message
@@ -129,7 +131,34 @@
     peer: str
 
 
-PartOutcome = PartReplied | PartNotRun | PartUnknown
+@_message
+class MergedPart:
+    """One part that is contained in `PartsMerged`; see `PartReplied`."""
+
+    service: str
+    upstream: str
+    proof: str
+    sends: int
+    queued_ms: int
+    upstream_ms: int
+
+
+@_message
+class PartsMerged:
+    """Upstreams of several services replied; their greatest records together.
+
+    Attributes:
+        call: The call.
+        parts: The parts.
+        records: Their greatest records, greatest first.
+    """
+
+    call: str
+    parts: list[MergedPart]
+    records: bytes
+
+
+PartOutcome = PartReplied | PartNotRun | PartUnknown | PartsMerged
 
-PART_OUTCOME_TYPES = (PartReplied, PartNotRun, PartUnknown)
+PART_OUTCOME_TYPES = (PartReplied, PartNotRun, PartUnknown, PartsMerged)
 FORWARD_TYPES = (ForwardCall, CancelForward, *PART_OUTCOME_TYPES)
--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -190,8 +190,10 @@
                 again = []
                 for event in events:
                     fanout.take(event, now_ms)
-                    if self._may_send_again(forward, event, attempts[event.service]):
-                        again.append(event.service)
+                    match event:
+                        case PartNotRun(service=name) | PartUnknown(service=name):
+                            if self._may_send_again(forward, event, attempts[name]):
+                                again.append(name)
                 for name in again:
                     fanout.reopen(name)
                     ids += self._send(forward, [name], attempts[name], inbox)
@@ -222,6 +224,7 @@
             target=http.target,
             headers=http.headers,
             body=http.body,
+            top=get_top(route),
         )
         return self._parts.send(template, inbox)
 
@@ -328,6 +331,15 @@
 CALLER_LEFT = CallerLeft()
 
 
+def get_top(route: HttpRoute) -> int:
+    """Returns how many records an answer of a route has; 0 if it is one reply."""
+    match route.target:
+        case FanoutTarget(top=top):
+            return top
+        case _:
+            return 0
+
+
 class Attempts:
     """How often a part may still go to another owner."""
 
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -228,10 +228,10 @@
             if self._up:
                 self._lost = False
 
-    def mark_answered(self) -> None:
-        """Notes that an awaited answer arrived."""
+    def mark_answered(self, count: int = 1) -> None:
+        """Notes that awaited answers arrived."""
         with self._changed:
-            self._awaited = max(0, self._awaited - 1)
+            self._awaited = max(0, self._awaited - count)
 
     def lose(self, *, silent: bool = False) -> Loss:
         """Empties the queue and refuses messages until the peer is reached again.
--- a/packages/gooseberrymux/src/gooseberrymux/parts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/parts.py
@@ -23,6 +23,7 @@
     ForwardCall,
     PartNotRun,
     PartOutcome,
+    PartsMerged,
     PartUnknown,
 )
 from gooseberrymux.inventory import INVENTORY_NAME, Inventory
@@ -183,9 +184,10 @@
         assert isinstance(outcome, PART_OUTCOME_TYPES)
         with self._lock:
             call = self._calls.get(outcome.call)
+            services = list_services(outcome)
             expected = call is not None and is_from_owner(call, sender)
-            if expected and outcome.service in call.open:
-                call.open.discard(outcome.service)
+            if expected and call.open.issuperset(services):
+                call.open.difference_update(services)
                 if not call.open:
                     del self._calls[outcome.call]
                 call.inbox.put(outcome)
@@ -300,6 +302,15 @@
             self._owners.clear()
 
 
+def list_services(outcome: PartOutcome) -> list[str]:
+    """Returns the services that an outcome is about."""
+    match outcome:
+        case PartsMerged(parts=parts):
+            return [part.service for part in parts]
+        case _:
+            return [outcome.service]
+
+
 def is_from_owner(call: PartsCall, sender: InstanceIdentity) -> bool:
     """Returns whether a sender is the run of the owner that a call was sent to."""
     return sender.name == call.owner and call.incarnation in (0, sender.incarnation)
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -20,6 +20,7 @@
     PART_OUTCOME_TYPES,
     CancelForward,
     ForwardCall,
+    PartsMerged,
 )
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.links import BATCH_LIMIT, Link, Loss
@@ -351,8 +352,8 @@
             name=envelope.sender, incarnation=envelope.sender_incarnation
         )
         for message in envelope.messages:
-            if isinstance(message, ANSWER_TYPES + PART_OUTCOME_TYPES):
-                link.mark_answered()
+            if answers := count_answers(message):
+                link.mark_answered(answers)
             self._handle(sender, message)
 
     def _handle(self, sender: InstanceIdentity, message: object) -> None:
@@ -434,6 +435,15 @@
             return int(isinstance(message, AWAITED_TYPES))
 
 
+def count_answers(message: object) -> int:
+    """Returns how many answers a message brings that its receiver had asked for."""
+    match message:
+        case PartsMerged(parts=parts):
+            return len(parts)
+        case _:
+            return int(isinstance(message, ANSWER_TYPES + PART_OUTCOME_TYPES))
+
+
 def list_updates(messages: list) -> list[MemberUpdate]:
     """Returns the member updates that probe messages carry."""
     return [
--- a/packages/gooseberrymux/src/gooseberrymux/platform.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import socket
 import threading
 from urllib.parse import quote
 
@@ -20,6 +21,16 @@
 CHUNK_BYTES = 65_536
 # One watch for each watched prefix stays open beside the calls.
 WATCH_CONNECTIONS = 4
+# A connection that fell silent is noticed within about three seconds, although a watch
+# on it is expected to say nothing for longer.
+SOCKET_OPTIONS = [
+    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3_000),
+]
 # Statuses by which the platform says that it refused the call before running it.
 REFUSED_STATUSES = frozenset((400, 401, 403, 404, 405, 413, 422, 429))
 
@@ -106,7 +117,9 @@
         settings = kernel.settings.platform
         self._url = settings.url.rstrip("/")
         self._http = urllib3.PoolManager(
-            maxsize=settings.calls_in_flight + WATCH_CONNECTIONS, retries=False
+            maxsize=settings.calls_in_flight + WATCH_CONNECTIONS,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
         )
         self._counts: dict[str, int] = {}
         self._in_flight = 0
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -11,6 +11,7 @@
 )
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
+from gooseberrymux.merging import Collector
 from gooseberrymux.peers import Peers
 from gooseberrymux.pool import REASON_LEAVING, Pool, Reply, Tools
 from gooseberrymux.records import InstanceIdentity
@@ -18,6 +19,10 @@
 from gooseberrymux.timers import Timers
 from gooseberrymux.usual_times import UsualTimes
 
+# Before an answer ceases to be on time, the entry still has to get the parts, merge
+# them and send them to the caller.
+FLUSH_MARGIN_MS = 13.0
+
 
 @service("pools", requires=("peers", "inventory", "routes", "timers"))
 class Pools:
@@ -29,6 +34,7 @@
         "_routes",
         "_tools",
         "_pools",
+        "_collectors",
         "_lock",
         "_leaving",
     )
@@ -45,6 +51,7 @@
             get_connections=self._get_connections,
         )
         self._pools: dict[str, Pool] = {}
+        self._collectors: dict[tuple[str, str], Collector] = {}
         self._lock = threading.Lock()
         self._leaving = False
         self._peers.register(ForwardCall, self._handle_call)
@@ -78,21 +85,41 @@
             reply: Called once for each service, from any thread; must not block.
             requester: Instance that may cancel it; empty for this one.
         """
-        for name in call.services:
-            if self._leaving and requester:
+        if self._leaving and requester:
+            for name in call.services:
                 reply(refuse_leaving(call, name, self._peers.identity.name))
-            else:
-                self._open_pool(name).submit(
-                    call=call, reply=reply, requester=requester
-                )
+            return
+        if call.top:
+            reply = self._open_collector(call, reply, requester)
+        for name in call.services:
+            self._open_pool(name).submit(call=call, reply=reply, requester=requester)
 
     def cancel(self, message: CancelForward, *, requester: str = "") -> None:
         """Drops the services of a call whose outcomes are no longer wanted."""
+        collector = self._collectors.get((requester, message.id))
+        if collector is not None:
+            collector.drop(message.services)
         for name in message.services:
             pool = self._pools.get(name)
             if pool is not None:
                 pool.cancel(message.id, requester=requester)
 
+    def _open_collector(self, call: ForwardCall, reply: Reply, requester: str) -> Reply:
+        """Returns what takes in the parts of a call to merge them."""
+        collector = Collector(call=call, reply=reply)
+        key = (requester, call.id)
+        self._collectors[key] = collector
+        now_ms = self._kernel.clock.now_ms()
+
+        def end() -> None:
+            self._collectors.pop(key, None)
+            collector.flush()
+
+        self._tools.timers.call_at(
+            now_ms + max(0.0, call.target_ms - FLUSH_MARGIN_MS), end
+        )
+        return collector.take
+
     def _get_connections(self, service_name: str) -> int | None:
         table = self._routes.get_current()
         return table.connections.get(service_name) if table else None
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -95,6 +95,7 @@
     calls_in_flight: Count = 16
     watchers: Count = 2
     watch_timeout_ms: DurationMs = 10_000
+    watch_pause_ms: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
