--- a/packages/gooseberrymux/src/gooseberrymux/inventory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -11,20 +11,32 @@
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import Membership
 from gooseberrymux.records import InstanceRecord, UpstreamRecord, UpstreamState
+from gooseberrymux.timers import Timers
 
 INVENTORY_NAME = "instances"
+# The platform's list loses entries of living upstreams while the platform is away, and
+# has them back this soon after its return. Then they go.
+LAPSE_HOLD_MS = 2_000.0
+# Entries that one document loses together, as a number and as a share of the list,
+# from which a lapse is assumed. Upstreams that leave do so a few at a time.
+LAPSE_COUNT = 3
+LAPSE_SHARE = 0.2
 
 _upstreams = pydantic.TypeAdapter(list[UpstreamRecord])
 _instances = pydantic.TypeAdapter(list[InstanceRecord])
 
 
-@service("inventory", requires=("documents", "membership", "departures"))
+@service("inventory", requires=("documents", "membership", "departures", "timers"))
 class Inventory:
     """Holds the record of each upstream."""
 
     __slots__ = (
+        "_clock",
+        "_timers",
         "_membership",
         "_departures",
+        "_listed",
+        "_held",
         "_upstreams",
         "_by_service",
         "_lock",
@@ -35,6 +47,11 @@
         kernel.find("documents", Documents).watch_prefix(INVENTORY_NAME)
         self._membership = kernel.find("membership", Membership)
         self._departures = kernel.find("departures", Departures)
+        self._clock = kernel.clock
+        self._timers = kernel.find("timers", Timers)
+        self._listed: dict[str, UpstreamRecord] = {}
+        # Records that the list has lost, and until when they hold all the same.
+        self._held: dict[str, tuple[UpstreamRecord, float]] = {}
         self._upstreams: dict[str, UpstreamRecord] = {}
         # Each sub-request asks for the replicas of one service.
         self._by_service: dict[str, tuple[UpstreamRecord, ...]] = {}
@@ -92,15 +109,8 @@
             self.last_problem = str(error.errors()[0])
             journal.record_fault(step="inventory.decode", peer="platform", error=error)
             return
-        by_service: dict[str, list[UpstreamRecord]] = {}
-        for record in upstreams:
-            by_service.setdefault(record.service, []).append(record)
         with self._lock:
-            self._upstreams = {record.name: record for record in upstreams}
-            self._by_service = {
-                name: keep_equal(self._by_service.get(name, ()), tuple(records))
-                for name, records in by_service.items()
-            }
+            self._take_list({record.name: record for record in upstreams})
         self._departures.update_list(
             {record.name: record.epoch for record in upstreams},
             {
@@ -112,6 +122,40 @@
         for record in instances:
             self._membership.learn(record)
 
+    def _take_list(self, listed: dict[str, UpstreamRecord]) -> None:
+        now_ms = self._clock.now_ms()
+        lost = {n: r for n, r in self._listed.items() if n not in listed}
+        if len(lost) >= max(LAPSE_COUNT, LAPSE_SHARE * len(self._listed)):
+            until_ms = now_ms + LAPSE_HOLD_MS
+            self._held |= {name: (record, until_ms) for name, record in lost.items()}
+            self._timers.call_at(until_ms, self._end_hold)
+            journal.record_event(
+                "inventory.lapsed", upstreams=sorted(lost), hold_ms=LAPSE_HOLD_MS
+            )
+        self._listed = listed
+        self._rebuild(now_ms)
+
+    def _end_hold(self) -> None:
+        with self._lock:
+            self._rebuild(self._clock.now_ms())
+
+    def _rebuild(self, now_ms: float) -> None:
+        """Makes the tables of what is listed or held; called with the lock held."""
+        self._held = {
+            name: (record, until_ms)
+            for name, (record, until_ms) in self._held.items()
+            if name not in self._listed and now_ms < until_ms
+        }
+        held = {name: record for name, (record, _) in self._held.items()}
+        self._upstreams = self._listed | held
+        by_service: dict[str, list[UpstreamRecord]] = {}
+        for record in self._upstreams.values():
+            by_service.setdefault(record.service, []).append(record)
+        self._by_service = {
+            name: keep_equal(self._by_service.get(name, ()), tuple(records))
+            for name, records in by_service.items()
+        }
+
 
 def keep_equal(
     known: tuple[UpstreamRecord, ...], found: tuple[UpstreamRecord, ...]
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -32,12 +32,17 @@
     """The connection broke: publish what was lost."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Redial:
+    """The peer is silent although the connection stands: open another one."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Close:
     """Nothing is left to send and the link is closed."""
 
 
-Step = SendBatch | ReportDown | Close
+Step = SendBatch | ReportDown | Redial | Close
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -111,6 +116,8 @@
         "_incarnation",
         "_up",
         "_down",
+        "_redial",
+        "_connection",
         "_lost",
         "_exposed",
         "_sending",
@@ -130,6 +137,8 @@
         self._incarnation = 0
         self._up = False
         self._down = False
+        self._redial = False
+        self._connection = 0
         self._lost = False
         self._exposed = False
         self._sending = False
@@ -190,6 +199,10 @@
                 if self._down:
                     self._down = False
                     return ReportDown()
+                if self._redial:
+                    self._redial = False
+                    self._up = False
+                    return Redial()
                 if self._closed and not (self._items and self._up):
                     return Close()
                 if self._items and self._up:
@@ -201,16 +214,26 @@
                     )
                 self._clock.wait(self._changed, None)
 
-    def mark_up(self) -> None:
-        """Notes that the connection stands."""
+    def begin_connection(self) -> int:
+        """Returns the number of a new connection; what older ones report is ignored."""
         with self._changed:
+            self._connection += 1
+            return self._connection
+
+    def mark_up(self, connection: int = 0) -> None:
+        """Notes that a connection stands."""
+        with self._changed:
+            if connection != self._connection:
+                return
             self._up = True
             self._lost = False
             self._changed.notify_all()
 
-    def mark_down(self) -> None:
-        """Notes that the connection broke."""
+    def mark_down(self, connection: int = 0) -> None:
+        """Notes that a connection broke."""
         with self._changed:
+            if connection != self._connection:
+                return
             self._up = False
             self._down = True
             self._changed.notify_all()
@@ -243,6 +266,9 @@
             loss = self._lose()
             # After a short break the connection may stand again by now.
             self._lost = silent or not self._up
+            # It may have fallen silent for good while a new one would work.
+            self._redial = silent and self._up
+            self._changed.notify_all()
             return loss
 
     def restart(self, incarnation: int) -> Loss | None:
--- a/packages/gooseberrymux/src/gooseberrymux/members.py
+++ b/packages/gooseberrymux/src/gooseberrymux/members.py
@@ -138,6 +138,10 @@
         self._set_own(dataclasses.replace(own, sequence=update.sequence + 1))
         return True
 
+    def raise_own(self, incarnation: int) -> None:
+        """Enters this instance under a higher incarnation."""
+        self._set_own(dataclasses.replace(self.own, incarnation=incarnation))
+
     def leave(self) -> None:
         """Enters this instance as leaving."""
         own = self.own
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -13,7 +13,7 @@
 from gooseberrymux.kernel import Kernel, LeaveStarted, SettingsChanged, service
 from gooseberrymux.members import MemberTable
 from gooseberrymux.messages import MemberUpdate, Probe, ProbeReply, ProbeRequest
-from gooseberrymux.peers import LinkDown, Peers
+from gooseberrymux.peers import IncarnationRaised, LinkDown, Peers
 from gooseberrymux.probes import (
     Answered,
     AskOthers,
@@ -97,6 +97,7 @@
         kernel.subscribe(LinkDown, self._handle_down)
         kernel.subscribe(LeaveStarted, self._handle_leave)
         kernel.subscribe(SettingsChanged, self._handle_settings)
+        kernel.subscribe(IncarnationRaised, self._handle_raised)
 
     def start(self) -> None:
         """Contacts the seeds and starts to probe."""
@@ -329,6 +330,11 @@
     def _handle_settings(self, event: SettingsChanged) -> None:
         self._connect_seeds(event.settings.membership.seeds)
 
+    def _handle_raised(self, event: IncarnationRaised) -> None:
+        with self._lock:
+            self._table.raise_own(event.incarnation)
+            self._live = self._table.list_live()
+
     def _contact_seeds(self) -> None:
         seeds = [
             name
--- a/packages/gooseberrymux/src/gooseberrymux/parts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/parts.py
@@ -228,9 +228,9 @@
         return owner
 
     def _get_incarnation(self, owner: str) -> int:
-        identity = self._peers.identity
-        if owner == identity.name:
-            return identity.incarnation
+        if owner == self._peers.identity.name:
+            # Calls to itself can't be lost to another run.
+            return 0
         return self._peers.get_incarnation(owner)
 
     def _handle_lost(self, event: PeerLost) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -75,6 +75,13 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class IncarnationRaised:
+    """This run goes under a higher incarnation from now on."""
+
+    incarnation: int
+
+
 Handler = Callable[[InstanceIdentity, object], None]
 
 
@@ -163,7 +170,7 @@
             link.is_started = True
         sender = Sender(
             kernel=self._kernel,
-            identity=self.identity,
+            get_identity=lambda: self.identity,
             link=link,
             drops=self._drops,
             report_down=self._report_down,
@@ -336,6 +343,8 @@
         loss = link.restart(envelope.sender_incarnation)
         if loss:
             self._report(link, loss, "restarted")
+        if envelope.target_incarnation > self.identity.incarnation:
+            self._rise_above(envelope.target_incarnation)
         if envelope.target_incarnation not in (0, self.identity.incarnation):
             self._drop("other_incarnation", link.name)
             if self._kernel.settings.policy.peer_reset:
@@ -356,6 +365,24 @@
                 link.mark_answered(answers)
             self._handle(sender, message)
 
+    def _rise_above(self, incarnation: int) -> None:
+        """Takes an incarnation above that of an earlier run.
+
+        A run that starts after the wall clock was set back would otherwise be taken
+        for an old one by every peer that knew the run before.
+        """
+        with self._lock:
+            before = self.identity
+            if incarnation < before.incarnation:
+                return
+            self.identity = dataclasses.replace(before, incarnation=incarnation + 1)
+        journal.record_event(
+            "peers.incarnation_raised",
+            before=before.incarnation,
+            incarnation=self.identity.incarnation,
+        )
+        self._kernel.publish(IncarnationRaised(incarnation=self.identity.incarnation))
+
     def _handle(self, sender: InstanceIdentity, message: object) -> None:
         handler = self._handlers.get(type(message))
         if handler is None:
--- a/packages/gooseberrymux/src/gooseberrymux/senders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/senders.py
@@ -8,7 +8,7 @@
 from gooseberrymux.codec import FRAME_LIMIT_BYTES, Envelope, encode_envelope
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.links import Close, Link, ReportDown, SendBatch
+from gooseberrymux.links import Close, Link, Redial, ReportDown, SendBatch
 from gooseberrymux.records import InstanceIdentity
 
 # The first message to an instance that has just started waits at most the longer one.
@@ -30,7 +30,7 @@
 
     __slots__ = (
         "_kernel",
-        "_identity",
+        "_get_identity",
         "_link",
         "_drops",
         "_report_down",
@@ -42,7 +42,7 @@
         self,
         *,
         kernel: Kernel,
-        identity: InstanceIdentity,
+        get_identity: Callable[[], InstanceIdentity],
         link: Link,
         drops: DropRecorder,
         report_down: Callable[..., None],
@@ -50,7 +50,7 @@
         count_sent: Callable[[int], None],
     ):
         self._kernel = kernel
-        self._identity = identity
+        self._get_identity = get_identity
         self._link = link
         self._drops = drops
         self._report_down = report_down
@@ -58,16 +58,22 @@
         self._count_sent = count_sent
 
     def run(self) -> None:
-        """Sends until the link is closed."""
+        """Sends until the link is closed, over one connection after the other."""
+        while self._send_over_connection():
+            pass
+
+    def _send_over_connection(self) -> bool:
+        """Sends until the link closes; returns whether to open another connection."""
         link = self._link
+        number = link.begin_connection()
         with pynng.Push0(
             send_timeout=SEND_TIMEOUT_MS,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
         ) as socket:
             # pynng calls these in its own threads; they only set flags.
-            socket.add_post_pipe_connect_cb(lambda pipe: link.mark_up())
-            socket.add_post_pipe_remove_cb(lambda pipe: link.mark_down())
+            socket.add_post_pipe_connect_cb(lambda pipe: link.mark_up(number))
+            socket.add_post_pipe_remove_cb(lambda pipe: link.mark_down(number))
             socket.dial(f"tcp://{link.address}", block=False)
             while True:
                 match link.take():
@@ -75,9 +81,12 @@
                         self._send_batch(socket, messages, incarnation)
                     case ReportDown():
                         self._report_down(link, REASON_BROKE)
+                    case Redial():
+                        journal.record_event("peers.redial", peer=link.name)
+                        return True
                     case Close():
                         self._kernel.clock.sleep_ms(LINGER_MS)
-                        return
+                        return False
 
     def _send_batch(
         self, socket: pynng.Push0, messages: list, incarnation: int
@@ -96,10 +105,11 @@
 
     def _pack(self, messages: list, incarnation: int) -> list[tuple[bytes, list]]:
         """Returns frames within the limit, each with its messages, in order."""
+        identity = self._get_identity()
         frame = encode_envelope(
             Envelope(
-                sender=self._identity.name,
-                sender_incarnation=self._identity.incarnation,
+                sender=identity.name,
+                sender_incarnation=identity.incarnation,
                 target=self._link.name if incarnation else "",
                 target_incarnation=incarnation,
                 messages=messages,
