--- /dev/null
+++ b/tests/http_scripted.py
@@ -0,0 +1,140 @@
+"""HTTP upstream and caller whose every byte a test scripts, on real sockets."""
+
+import contextlib
+import socket
+import threading
+
+from gooseberrymux.records import Rank, UpstreamRecord
+
+PROOF = "p.1"
+
+
+class Arrived:
+    """One request that arrived, and the connection to answer it on."""
+
+    def __init__(self, *, sock, line, headers, body):
+        self.sock = sock
+        self.method, self.target, _ = line.split(" ", 2)
+        self.headers = headers
+        self.body = body
+
+    def reply(self, status=200, body=b"", proof=PROOF, echo=True, **headers):
+        """Writes a reply; headers with underscores for hyphens."""
+        self.sock.sendall(
+            self.create_reply(status, body, proof=proof, echo=echo, **headers)
+        )
+
+    def create_reply(self, status=200, body=b"", proof=PROOF, echo=True, **headers):
+        fields = {"content-length": str(len(body))}
+        if proof:
+            fields["x-reply-proof"] = proof
+        if echo:
+            fields["x-request-id"] = self.headers.get("x-request-id", "")
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        lines = [f"HTTP/1.1 {status} X"]
+        lines += [f"{name}: {value}" for name, value in fields.items() if value]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def reset(self):
+        """Ends the connection so that the caller sees a reset."""
+        linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.sock.close()
+
+    def close(self):
+        self.sock.shutdown(socket.SHUT_RDWR)
+
+
+class HttpUpstream:
+    """Accepts connections and calls `behave` for each request."""
+
+    def __init__(self, behave):
+        self.behave = behave
+        self.arrived = []
+        self.connections = 0
+        self.left = threading.Semaphore(0)
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self._listener.getsockname()[1]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        with contextlib.suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+
+    def describe(self, name="u", **fields):
+        given = {"service": "s", "failure_domain": "a", "slots": 2, **fields}
+        return UpstreamRecord(name=name, host="127.0.0.1", port=self.port, **given)
+
+    def _accept(self):
+        while True:
+            try:
+                sock, _ = self._listener.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self._serve, args=(sock,), daemon=True).start()
+
+    def _serve(self, sock):
+        with contextlib.suppress(OSError, ValueError), sock.makefile("rb") as stream:
+            while line := stream.readline().decode().strip():
+                headers = {}
+                while field := stream.readline().decode().strip():
+                    name, _, value = field.partition(":")
+                    headers[name.lower()] = value.strip()
+                body = stream.read(int(headers.get("content-length", 0)))
+                request = Arrived(sock=sock, line=line, headers=headers, body=body)
+                self.arrived.append(request)
+                self.behave(request)
+        self.left.release()
+
+
+class HttpCaller:
+    """One connection of a caller that writes raw bytes and reads replies."""
+
+    def __init__(self, address):
+        self.sock = socket.create_connection((address[0], address[1]), timeout=5)
+        self.stream = self.sock.makefile("rb")
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def get(self, target="/a/x", **headers):
+        """Sends a GET and returns status, headers and body."""
+        fields = {"host": "desk.example", "x-request-id": "r-1", **headers}
+        lines = [f"GET {target} HTTP/1.1"]
+        lines += [f"{n.replace('_', '-')}: {v}" for n, v in fields.items()]
+        self.send(("\r\n".join(lines) + "\r\n\r\n").encode())
+        return self.read()
+
+    def read(self):
+        """Returns status, headers and body; status None at the end."""
+        line = self.stream.readline().decode()
+        if not line:
+            return None, {}, b""
+        headers = {}
+        while field := self.stream.readline().decode().strip():
+            name, _, value = field.partition(":")
+            headers[name.lower()] = value.strip()
+        body = self.stream.read(int(headers.get("content-length", 0)))
+        return int(line.split()[1]), headers, body
+
+    def close(self):
+        self.stream.close()
+        self.sock.close()
+
+
+def create_route(name="desk", target=None, **fields):
+    """Returns one route of a routes document."""
+    return {
+        "name": name,
+        "host": "desk.example",
+        "path_prefix": "/a/",
+        "target": target or {"service": "s"},
+        "rank": Rank.URGENT.value,
+        "repeatable": True,
+        "attempts": 2,
+        "timeout_ms": 2000,
+        "latency_target_ms": 500.0,
+        **fields,
+    }
