--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -490,7 +490,7 @@
                     self._again.append(item)
                     self._dispatch(now_ms)
                 else:
-                    self._fail(item, REASON_NO_REPLICA)
+                    self._fail(item, item.failure)
         self._deliver()
 
     def _fail(self, item: Item, reason: str) -> None:
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -3,7 +3,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gooseberrymux.budgets import BURST_TOKENS, EXTRA_SHARE_LIMIT, Budgets
+from gooseberrymux.budgets import (
+    BURST_TOKENS,
+    EXTRA_SHARE_LIMIT,
+    Budgets,
+    WindowBudget,
+)
 from gooseberrymux.records import Rank
 from harness import create_settings
 
@@ -55,3 +60,25 @@
         budgets.count_first(Rank.URGENT)
     taken = sum(budgets.take_retry(Rank.URGENT) for _ in range(1_000))
     assert taken == BURST_TOKENS
+
+
+@given(
+    st.lists(st.tuples(st.floats(0, 300), st.booleans()), max_size=120),
+    st.floats(0, 0.5),
+    st.integers(0, 5),
+)
+def test_extra_sends_are_bounded_in_every_window(steps, share, slack):
+    # Guards against a budget that holds on average and not in each window.
+    window_ms = 1000.0
+    budget = WindowBudget(share=share, slack=slack, window_ms=window_ms)
+    now_ms, firsts, extras = 0.0, [], []
+    for pause_ms, is_first in steps:
+        now_ms += pause_ms
+        if is_first:
+            budget.count_first(now_ms)
+            firsts.append(now_ms)
+        elif budget.take_extra(now_ms):
+            extras.append(now_ms)
+            window = [at for at in firsts if at >= now_ms - window_ms]
+            taken = [at for at in extras if at >= now_ms - window_ms]
+            assert len(taken) <= share * len(window) + slack
--- /dev/null
+++ b/tests/test_forward_exchange.py
@@ -0,0 +1,260 @@
+"""One exchange of a forwarded request: what ran, what did not, whose reply it is."""
+
+import contextlib
+import dataclasses
+import threading
+
+import pytest
+
+from gooseberrymux.clock import Clock
+from gooseberrymux.forward_exchange import (
+    Broken,
+    Declined,
+    ForwardExchange,
+    NotSent,
+    Replied,
+    encode_head,
+)
+from gooseberrymux.forward_messages import ForwardCall
+from gooseberrymux.records import Rank
+from gooseberrymux.settings import HeaderNames
+from http_scripted import PROOF, HttpUpstream
+
+CLOCK = Clock()
+NAMES = HeaderNames()
+CALL = ForwardCall(
+    id="c",
+    request_id="r-1",
+    route="desk",
+    services=["s"],
+    rank=Rank.URGENT,
+    repeatable=True,
+    attempts=2,
+    remaining_ms=1000.0,
+    target_ms=100.0,
+    method="GET",
+    target="/a/x?q=1",
+    headers=(("host", "desk.example"), ("x-own", "1"), ("x-deadline-ms", "9999")),
+)
+ORDER = dataclasses.replace(
+    CALL, method="POST", repeatable=False, body=b"order", request_id="r-2"
+)
+
+
+@pytest.fixture
+def serve():
+    opened = []
+
+    def start(behave=lambda request: request.reply(body=b"hello")):
+        upstream = HttpUpstream(behave)
+        exchange = ForwardExchange(record=upstream.describe(), clock=CLOCK, names=NAMES)
+        opened.append((upstream, exchange))
+        return upstream, exchange
+
+    yield start
+    for upstream, exchange in opened:
+        exchange.close()
+        upstream.close()
+
+
+def run(exchange, call=CALL, budget_ms=1500.0):
+    exchange.prepare()
+    return exchange.run(call, encode_head(call, NAMES), CLOCK.now_ms() + budget_ms)
+
+
+def test_the_request_is_passed_on_with_identity_and_time_left(serve):
+    upstream, exchange = serve()
+    result = run(exchange, ORDER)
+    assert isinstance(result, Replied)
+    assert (result.reply.body, result.proof) == (b"hello", PROOF)
+    request = upstream.arrived[0]
+    assert (request.method, request.target) == ("POST", "/a/x?q=1")
+    assert request.body == b"order"
+    assert request.headers["host"] == "desk.example"
+    assert request.headers["x-own"] == "1"
+    assert request.headers["x-request-id"] == "r-2"
+    assert request.headers["x-target-upstream"] == "u"
+    assert 1000 < int(request.headers["x-deadline-ms"]) <= 1500
+
+
+def test_connections_are_kept(serve):
+    upstream, exchange = serve()
+    assert all(isinstance(run(exchange), Replied) for _ in range(3))
+    assert upstream.connections == 1
+
+
+def test_nothing_listens_so_it_did_not_run(serve):
+    upstream, exchange = serve()
+    upstream.close()
+    assert run(exchange) == NotSent(reason="connect_failed")
+
+
+@pytest.mark.parametrize(
+    ("behave", "expected"),
+    [
+        (lambda r: r.reply(503, proof="", x_not_run="1"), Declined),
+        (lambda r: r.reply(429, proof="", x_not_run="1"), Declined),
+        (lambda r: r.reply(421, proof="", x_upstream="other"), Declined),
+        (lambda r: r.reply(503, proof=""), Replied),
+        (lambda r: r.reply(500), Replied),
+        (lambda r: r.reply(200, proof=""), Broken),
+        (lambda r: r.reply(200, content_encoding="gzip"), Broken),
+        (lambda r: r.reply(200, b"x", x_request_id="other", echo=False), Broken),
+        (lambda r: r.close(), Broken),
+        (lambda r: r.reset(), Broken),
+        (lambda r: r.sock.sendall(b"HTTP/1.1 200 OK\r\nContent-"), Broken),
+        (lambda r: r.sock.sendall(b"\x00\x01 nonsense\r\n\r\n"), Broken),
+        (lambda r: r.reply(200, b"abc", content_length="9"), Broken),
+        (lambda r: r.reply(200, transfer_encoding="chunked"), Broken),
+        (lambda r: r.reply(200, content_length="-1"), Broken),
+        (lambda r: None, Broken),
+    ],
+)
+def test_only_the_upstreams_word_means_not_run(serve, behave, expected):
+    # Guards against a request that is sent again, or refused as not run, and had run.
+    def answer(request):
+        behave(request)
+        if expected is Broken:
+            with contextlib.suppress(OSError):
+                request.close()
+
+    _, exchange = serve(answer)
+    assert type(run(exchange, ORDER, budget_ms=300.0)) is expected
+
+
+def test_silence_ends_at_the_deadline_as_unknown(serve):
+    _, exchange = serve(lambda request: None)
+    started_ms = CLOCK.now_ms()
+    assert run(exchange, budget_ms=80.0) == Broken(reason="timeout")
+    assert CLOCK.now_ms() - started_ms < 1000
+    assert not exchange.is_open
+
+
+def test_a_reply_without_length_ends_with_its_connection(serve):
+    def answer(request):
+        request.reply(200, b"", content_length="", connection="close")
+        request.sock.sendall(b"whole")
+        request.close()
+
+    _, exchange = serve(answer)
+    assert run(exchange).reply.body == b"whole"
+    assert not exchange.is_open
+
+
+def test_a_reply_without_length_that_is_reset_is_not_whole(serve):
+    # Guards against half a reply that looks complete.
+    sent = threading.Event()
+
+    def answer(request):
+        request.reply(200, b"", content_length="")
+        request.sock.sendall(b"half")
+        sent.wait(0.1)
+        request.reset()
+
+    _, exchange = serve(answer)
+    assert isinstance(run(exchange), Broken)
+
+
+def test_bytes_after_a_reply_reach_no_other_request(serve):
+    # Guards against a second reply that is given to the next request.
+    def answer(request):
+        reply = request.create_reply(200, request.target.encode())
+        request.sock.sendall(reply + reply)
+
+    upstream, exchange = serve(answer)
+    for target in ("/a/1", "/a/2", "/a/3"):
+        result = run(exchange, dataclasses.replace(CALL, target=target))
+        assert result.reply.body == target.encode()
+    assert upstream.connections == 3
+
+
+def test_a_late_second_reply_reaches_no_other_request(serve):
+    late = threading.Event()
+
+    def answer(request):
+        reply = request.create_reply(200, request.target.encode())
+        request.sock.sendall(reply)
+        if request.target == "/a/1":
+            late.wait(1)
+            request.sock.sendall(reply)
+            late.clear()
+
+    upstream, exchange = serve(answer)
+    assert isinstance(run(exchange, dataclasses.replace(CALL, target="/a/1")), Replied)
+    late.set()
+    while late.is_set():
+        CLOCK.sleep_ms(1)
+    result = run(exchange, dataclasses.replace(CALL, target="/a/2"))
+    assert result.reply.body == b"/a/2"
+    assert upstream.connections == 2
+
+
+def test_a_foreign_reply_is_known_by_its_id(serve):
+    def answer(request):
+        request.reply(200, b"foreign", echo=False, x_request_id="of-another")
+
+    _, exchange = serve(answer)
+    assert run(exchange) == Broken(reason="foreign_reply")
+    assert not exchange.is_open
+
+
+def test_interim_replies_are_passed_over(serve):
+    def answer(request):
+        request.sock.sendall(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.reply(200, b"final")
+
+    _, exchange = serve(answer)
+    assert run(exchange).reply.body == b"final"
+
+
+def test_hop_by_hop_headers_of_a_reply_are_removed(serve):
+    def answer(request):
+        request.reply(200, b"x", keep_alive="timeout=5", connection="x-hop", x_hop="1")
+
+    _, exchange = serve(answer)
+    names = [name for name, _ in run(exchange).reply.headers]
+    assert names == ["content-length", "x-reply-proof", "x-request-id"]
+
+
+def test_connection_close_ends_the_connection(serve):
+    upstream, exchange = serve(lambda r: r.reply(200, b"x", connection="close"))
+    run(exchange)
+    assert not exchange.is_open
+    assert isinstance(run(exchange), Replied)
+    assert upstream.connections == 2
+
+
+@pytest.mark.parametrize(("call", "connections"), [(CALL, 1), (ORDER, 2)])
+def test_only_what_may_run_twice_goes_out_on_an_idle_connection(
+    serve, call, connections
+):
+    # Guards against an order lost on a connection that the upstream closes just then.
+    upstream, exchange = serve()
+    run(exchange)
+    exchange._used_ms -= 2_000
+    assert isinstance(run(exchange, call), Replied)
+    assert upstream.connections == connections
+
+
+def test_an_announced_idle_timeout_is_kept(serve):
+    upstream, exchange = serve(lambda r: r.reply(200, b"x", keep_alive="timeout=2"))
+    run(exchange)
+    exchange._used_ms -= 1_700
+    run(exchange)
+    assert upstream.connections == 2
+
+
+def test_an_abort_ends_the_exchange_and_the_upstream_sees_it(serve):
+    arrived = threading.Event()
+    upstream, exchange = serve(lambda request: arrived.set())
+    results = []
+    thread = threading.Thread(
+        target=lambda: results.append(run(exchange, budget_ms=9e3))
+    )
+    thread.start()
+    assert arrived.wait(5)
+    exchange.abort()
+    thread.join(5)
+    assert results == [Broken(reason="aborted")]
+    assert upstream.left.acquire(timeout=5)
+    assert not exchange.is_open
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,9 @@
     Probe,
 )
 from gooseberrymux.peers import MessagesNotSent
-from gooseberrymux.records import MemberState
+from gooseberrymux.records import InstanceIdentity, MemberState
+from gooseberrymux.settings import Address
+from gooseberrystand.proxy import Proxy
 from support import Node, running, wait_for
 
 PEERS_ONLY = ("peers",)
@@ -230,3 +232,59 @@
                 "the drop",
             )
     assert one.peers.list_connected() == ("two",)
+
+
+def test_connection_that_fell_silent_is_replaced(pair):
+    # Guards against a peer that stays lost because its connection never looks broken.
+    one, two = pair
+    with running(one, two):
+        exchange_one(one, two)
+        proxy = Proxy(target_port=two.address.port)
+        one.peers.connect(name="two", address=Address(port=proxy.port))
+        one.received.clear()
+        exchange_one(one, two)
+        two.received.clear()
+        proxy.silence()
+        one.peers.send("two", CancelSubrequest(id="swallowed"))
+        incarnation = two.peers.identity.incarnation
+        one.peers.lose(name="two", incarnation=incarnation, reason="silent")
+        wait_for(lambda: not one.peers.is_lost("two"), "another connection")
+        one.peers.send("two", CancelSubrequest(id="heard"))
+        wait_for(lambda: two.received, "a message on the new connection")
+        assert [message.id for _, message in two.received] == ["heard"]
+        proxy.close()
+
+
+def test_run_that_starts_after_the_clock_was_set_back_is_heard(pair):
+    # Guards against an instance that its peers take for an old run for good.
+    one, two = pair
+    with running(two):
+        with running(one):
+            exchange_one(one, two)
+        port = one.settings.instance.peers.port
+        again = Node("one", services=PEERS_ONLY, port=port)
+        again.peers.register(CancelSubrequest, again.record)
+        later = one.peers.identity
+        again.peers.identity = InstanceIdentity(
+            name="one", incarnation=later.incarnation - 5_000
+        )
+        again.connect(two)
+        two.received.clear()
+        with running(again):
+            wait_for(lambda: not two.peers.is_lost("one"), "the connection")
+            two.peers.send("one", CancelSubrequest(id="to a run that is gone"))
+            wait_for(
+                lambda: again.peers.identity.incarnation > later.incarnation,
+                "a higher incarnation",
+            )
+            again.peers.send("two", CancelSubrequest(id="heard"))
+            wait_for(lambda: two.received, "a message of the new run")
+            assert two.received[-1][0] == again.peers.identity
+
+
+def test_member_keeps_its_place_under_a_higher_incarnation():
+    node = Node("one")
+    node.peers._rise_above(node.peers.identity.incarnation + 7)
+    (own,) = node.membership.list_members()
+    assert own.incarnation == node.peers.identity.incarnation
+    assert node.live() == ["one"]
