Let the strongest instances own the services

On the grown sites an entry of half a core sent each fan-out to 65 owners, and half of the stock lookups were late.

--- a/packages/gooseberrymux/src/gooseberrymux/members.py
+++ b/packages/gooseberrymux/src/gooseberrymux/members.py
@@ -47,6 +47,7 @@
         update.port,
         update.failure_domain,
         update.region,
+        update.capacity,
     )
 
 
@@ -280,6 +281,7 @@
         peer_port=update.port,
         failure_domain=update.failure_domain,
         region=update.region,
+        capacity=update.capacity,
     )
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -80,6 +80,7 @@
                 port=own.peers.port,
                 failure_domain=own.failure_domain,
                 region=own.region,
+                capacity=own.capacity,
             ),
             seed=identity.incarnation,
         )
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -136,6 +136,7 @@
         port: Port of its peer listener.
         failure_domain: Where it runs.
         region: Region it runs in.
+        capacity: Processor cores that it has, compared with the other members.
     """
 
     instance: str
@@ -146,6 +147,7 @@
     port: int
     failure_domain: str
     region: str = "default"
+    capacity: float = 1.0
 
 
 @_message
--- a/packages/gooseberrymux/src/gooseberrymux/parts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/parts.py
@@ -29,7 +29,7 @@
 from gooseberrymux.inventory import INVENTORY_NAME, Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import MemberChanged, Membership
-from gooseberrymux.ownership import rank_service_owners
+from gooseberrymux.ownership import rank_service_owners, select_strongest
 from gooseberrymux.peers import MessagesNotSent, PeerLost, Peers
 from gooseberrymux.pools import Pools
 from gooseberrymux.records import InstanceIdentity
@@ -211,7 +211,10 @@
         candidates = rank_service_owners(
             key=service_name,
             domains={record.failure_domain for record in records},
-            members=self._membership.list_live(),
+            members=select_strongest(
+                self._membership.list_live(),
+                most=self._kernel.settings.forwarding.owners,
+            ),
             count=CANDIDATES_LOGGED,
         )
         owner = candidates[0].name if candidates else own_name
@@ -219,7 +222,7 @@
             "placement.service_owner",
             chosen=owner,
             among=[member.name for member in candidates],
-            reason="highest score among live members near its upstreams",
+            reason="highest score among strong live members near its upstreams",
             service=service_name,
         )
         with self._lock:
--- a/packages/gooseberrymux/src/gooseberrymux/records.py
+++ b/packages/gooseberrymux/src/gooseberrymux/records.py
@@ -95,7 +95,17 @@
 
 @_frozen
 class InstanceRecord:
-    """One entry instance in the platform's list."""
+    """One entry instance in the platform's list.
+
+    Attributes:
+        name: Unique name.
+        host: IP number.
+        peer_port: Port of its peer listener.
+        failure_domain: Where it runs.
+        region: Region it runs in.
+        leaving: Whether it is stopping.
+        capacity: Processor cores that it has, compared with the other instances.
+    """
 
     name: str
     host: str
@@ -103,6 +113,7 @@
     failure_domain: str
     region: str = "default"
     leaving: bool = False
+    capacity: float = 1.0
 
 
 @_frozen
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -79,10 +79,17 @@
     name: Name
     failure_domain: Name
     region: Name = "default"
+    processor_share: Annotated[float, pydantic.Field(gt=0)] = 1.0
+    processor_speed: Annotated[float, pydantic.Field(gt=0)] = 1.0
     callers: AddressField
     administration: AddressField
     peers: AddressField
 
+    @property
+    def capacity(self) -> float:
+        """Processor cores of this instance, in cores of speed 1."""
+        return self.processor_share * self.processor_speed
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformSettings:
@@ -228,6 +235,7 @@
     extra_share: Share = 0.2
     extra_slack: Count = 54
     extra_window_ms: DurationMs = 10_000
+    owners: Count = 16
     queue_limit: Count = 256
 
 
