--- a/packages/gooseberrymux/src/gooseberrymux/evidence.py
+++ b/packages/gooseberrymux/src/gooseberrymux/evidence.py
@@ -177,7 +177,9 @@
             kept = 0.5 ** ((now_ms - self._sampled_ms) / LATENCY_HALF_LIFE_MS)
             latency_ms += (self.latency_ms - neutral_ms) * kept
         # A queue drains while nobody reports on it.
-        wait_ms = max(0.0, self._wait_ms - (now_ms - self._waited_ms))
+        wait_ms = 0.0
+        if self._wait_ms:
+            wait_ms = max(0.0, self._wait_ms - (now_ms - self._waited_ms))
         pressure = self._decay_pressure(now_ms)
         busy = 1.0 + self.in_flight / max(1, record.slots)
         return (wait_ms + latency_ms * busy) * (1.0 + PRESSURE_COST * pressure)
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -11,7 +11,7 @@
 from gooseberrymux import forward_exchange, journal, metrics
 from gooseberrymux.budgets import WindowBudget
 from gooseberrymux.connections import Connection, Exchange
-from gooseberrymux.forward_exchange import Declined, NotSent, Replied, encode_head
+from gooseberrymux.forward_exchange import Declined, NotSent, Replied
 from gooseberrymux.forward_messages import (
     ForwardCall,
     PartNotRun,
@@ -69,6 +69,7 @@
         arrived_ms: When it arrived.
         deadline_ms: When it is no longer worth running.
         head: Its request line and end-to-end headers.
+        usual: What its exchanges usually take.
         sends: Sends under way.
         tried: Upstreams that it was sent to in this round.
         runs_left: Upstreams on which it may still run.
@@ -88,6 +89,7 @@
         "arrived_ms",
         "deadline_ms",
         "head",
+        "usual",
         "sends",
         "tried",
         "runs_left",
@@ -108,6 +110,7 @@
         requester: str,
         now_ms: float,
         head: bytes,
+        usual: Usual,
     ):
         self.call = call
         self.reply = reply
@@ -115,6 +118,7 @@
         self.arrived_ms = now_ms
         self.deadline_ms = now_ms + call.remaining_ms - DEADLINE_MARGIN_MS
         self.head = head
+        self.usual = usual
         self.sends: list[Send] = []
         self.tried: set[str] = set()
         self.runs_left = call.attempts
@@ -145,7 +149,7 @@
         kernel: The kernel.
         inventory: Lists the upstreams.
         timers: Makes calls that are due.
-        times: What exchanges usually take.
+        times: Learns what exchanges usually take.
         get_connections: Connections that each upstream of a service accepts, or None.
     """
 
@@ -213,36 +217,34 @@
                 "upstreams": self._replicas.describe(self._clock.now_ms()),
             }
 
-    def submit(self, *, call: ForwardCall, reply: Reply, requester: str) -> None:
-        """Sends a request to an upstream, now or when one has a free slot.
-
-        Args:
-            call: The request.
-            reply: Called once with the outcome, from any thread; must not block.
-            requester: Instance that may cancel it.
-        """
-        now_ms = self._clock.now_ms()
-        names = self._tools.kernel.settings.gateway.headers
-        item = Item(
-            call=call,
-            reply=reply,
-            requester=requester,
-            now_ms=now_ms,
-            head=encode_head(call, names),
-        )
+    def submit(self, item: Item) -> None:
+        """Sends a request to an upstream, now or when one has a free slot."""
+        call, now_ms = item.call, item.arrived_ms
         with self._lock:
-            self._items[requester, call.id] = item
+            self._items[item.requester, call.id] = item
             if not call.dispatched_before:
                 self._budget.count_first(now_ms)
             self._replicas.refresh()
+            waits = self._again or len(self._queue)
+            in_time = now_ms + item.usual.median_ms <= item.deadline_ms
+            if in_time and not waits and self._send_to_best(item, CAUSE_FIRST, now_ms):
+                return
             if reason := self._find_refusal(item, now_ms):
                 self._fail(item, reason)
             else:
                 self._dispatch(now_ms)
-                if not item.sends and not item.settled:
-                    self._tools.timers.call_at(
-                        item.deadline_ms, lambda: self._expire(item)
-                    )
+        self._deliver()
+
+    def expire(self, call_id: str, *, requester: str) -> None:
+        """Ends a request whose deadline has passed."""
+        with self._lock:
+            item = self._items.get((requester, call_id))
+            if item is not None:
+                sends = list(item.sends)
+                self._queue.remove(lambda queued: queued is item)
+                self._fail(item, REASON_DEADLINE)
+                for send in sends:
+                    send.connection.abort(send)
         self._deliver()
 
     def cancel(self, call_id: str, *, requester: str) -> None:
@@ -275,22 +277,17 @@
         """Queues an item; returns why not, or None."""
         if not self._replicas.list_usable(now_ms):
             return REASON_NO_REPLICA
-        usual = self._get_usual(item)
-        wait_ms = self._estimate_wait_ms(item, usual, now_ms)
-        if now_ms + wait_ms + usual.median_ms > item.deadline_ms:
+        wait_ms = self._estimate_wait_ms(item, now_ms)
+        if now_ms + wait_ms + item.usual.median_ms > item.deadline_ms:
             return REASON_DEADLINE
         if not self._queue.put(item.call.rank, item):
             return REASON_QUEUE_FULL
         return None
 
-    def _estimate_wait_ms(self, item: Item, usual: Usual, now_ms: float) -> float:
+    def _estimate_wait_ms(self, item: Item, now_ms: float) -> float:
         ahead = self._queue.count_ahead(item.call.rank) + len(self._again)
-        return ahead * usual.median_ms / max(1, self._replicas.count_slots(now_ms))
-
-    def _get_usual(self, item: Item) -> Usual:
-        return self._tools.times.get(
-            route=item.call.route, target_ms=max(1.0, item.call.target_ms)
-        )
+        slots = max(1, self._replicas.count_slots(now_ms))
+        return ahead * item.usual.median_ms / slots
 
     def _dispatch(self, now_ms: float) -> None:
         """Sends what can be sent; called with the lock held."""
@@ -327,7 +324,7 @@
         return True
 
     def _send(self, item: Item, replica: Replica, cause: str, now_ms: float) -> None:
-        usual = self._get_usual(item)
+        usual = item.usual
         probing = replica.is_probe_due(now_ms)
         connection = self._replicas.open_connection(
             replica, finish=self._finish, drop_idle=self._drop_idle
@@ -349,11 +346,11 @@
         if item.first_sent_ms is None:
             item.first_sent_ms = now_ms
         replica.begin(send, usual, now_ms)
-        connection.assign(send)
+        connection.begin(send)
         if cause != CAUSE_FIRST:
             self._record_again(send)
         if item.call.repeatable and item.runs_left > 0:
-            delay_ms = usual.median_ms if probing else self._plan_hedge(item, usual)
+            delay_ms = usual.median_ms if probing else self._plan_hedge(item, now_ms)
             self._tools.timers.call_at(now_ms + delay_ms, lambda: self._hedge(item))
 
     def _record_again(self, send: Send) -> None:
@@ -368,14 +365,14 @@
             sends=item.sent,
         )
 
-    def _plan_hedge(self, item: Item, usual: Usual) -> float:
+    def _plan_hedge(self, item: Item, now_ms: float) -> float:
         """Returns after how many milliseconds a request is sent a second time.
 
         Early enough for the second to be on time, if that is possible.
         """
-        soonest_ms = HEDGE_MEDIANS * usual.median_ms
-        target_left_ms = item.arrived_ms + item.call.target_ms - self._clock.now_ms()
-        return max(soonest_ms, min(usual.high_ms, target_left_ms - soonest_ms))
+        soonest_ms = HEDGE_MEDIANS * item.usual.median_ms
+        target_left_ms = item.arrived_ms + item.call.target_ms - now_ms
+        return max(soonest_ms, min(item.usual.high_ms, target_left_ms - soonest_ms))
 
     def _hedge(self, item: Item) -> None:
         with self._lock:
@@ -397,13 +394,6 @@
                     {"cause": CAUSE_HEDGE, "outcome": REASON_BUDGET}
                 )
 
-    def _expire(self, item: Item) -> None:
-        with self._lock:
-            if not item.settled and not item.sends:
-                self._queue.remove(lambda queued: queued is item)
-                self._fail(item, REASON_DEADLINE)
-        self._deliver()
-
     def _drop_idle(self, replica: Replica, connection: Connection) -> bool:
         with self._lock:
             return self._replicas.drop(replica, connection)
@@ -497,7 +487,8 @@
         """Settles an item that got no good reply."""
         if item.failed_reply is not None:
             self._settle(item, item.failed_reply)
-        elif item.may_have_run:
+        elif item.may_have_run or item.sends:
+            # What is under way may run as well.
             self._settle(
                 item,
                 PartUnknown(
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -3,6 +3,7 @@
 import threading
 
 from gooseberrymux import metrics
+from gooseberrymux.forward_exchange import encode_head
 from gooseberrymux.forward_messages import (
     CancelForward,
     ForwardCall,
@@ -13,7 +14,7 @@
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.merging import Collector
 from gooseberrymux.peers import Peers
-from gooseberrymux.pool import REASON_LEAVING, Pool, Reply, Tools
+from gooseberrymux.pool import REASON_LEAVING, Item, Pool, Reply, Tools
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.routes import Routes
 from gooseberrymux.timers import Timers
@@ -91,8 +92,32 @@
             return
         if call.top:
             reply = self._open_collector(call, reply, requester)
+        now_ms = self._kernel.clock.now_ms()
+        # The same for all services, and a good part of the work on each.
+        head = encode_head(call, self._kernel.settings.gateway.headers)
+        usual = self._tools.times.get(
+            route=call.route, target_ms=max(1.0, call.target_ms)
+        )
+        items = [
+            Item(
+                call=call,
+                reply=reply,
+                requester=requester,
+                now_ms=now_ms,
+                head=head,
+                usual=usual,
+            )
+            for _ in call.services
+        ]
+        for name, item in zip(call.services, items, strict=True):
+            self._open_pool(name).submit(item)
+        self._tools.timers.call_at(
+            items[0].deadline_ms, lambda: self._expire(call, requester)
+        )
+
+    def _expire(self, call: ForwardCall, requester: str) -> None:
         for name in call.services:
-            self._open_pool(name).submit(call=call, reply=reply, requester=requester)
+            self._open_pool(name).expire(call.id, requester=requester)
 
     def cancel(self, message: CancelForward, *, requester: str = "") -> None:
         """Drops the services of a call whose outcomes are no longer wanted."""
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -3,11 +3,10 @@
 from collections.abc import Callable, Collection
 
 from gooseberrymux.connections import Connection, Finish
-from gooseberrymux.forward_exchange import ForwardExchange
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
-from gooseberrymux.replicas import Replica
+from gooseberrymux.replicas import SLOW_FACTOR, Replica
 
 UNLIMITED = 1 << 16
 
@@ -88,12 +87,13 @@
             now_ms: Monotonic time in milliseconds.
             but: Names of upstreams that are left out.
         """
+        is_leaving = self._inventory.is_leaving
         return [
             replica
             for name, replica in self._replicas.items()
             if name not in but
             and not replica.is_ejected(now_ms)
-            and not self._inventory.is_leaving(replica.record)
+            and not is_leaving(replica.record)
         ]
 
     def has_room(self, now_ms: float) -> bool:
@@ -115,24 +115,32 @@
             may_probe: Whether the request may find out if an upstream has recovered.
             now_ms: Monotonic time in milliseconds.
         """
-        usable = self.list_usable(now_ms, tried)
-        free = [replica for replica in usable if replica.has_room(self._limit)]
-        if may_probe:
-            for replica in free:
-                if replica.is_probe_due(now_ms):
-                    return replica
-        sound = [replica for replica in usable if replica.is_sound(now_ms)]
-        among = [replica for replica in sound if replica in free]
-        if not among and sound:
-            # The wait for a sound one is shorter than a stalled or slow one takes.
-            return None
-        among = among or [r for r in free if not r.is_stalled(now_ms)]
+        limit = self._limit
         domain = self._kernel.settings.instance.failure_domain
-        return min(
-            among,
-            key=lambda replica: replica.estimate(now_ms=now_ms, domain=domain),
-            default=None,
-        )
+        best: Replica | None = None
+        best_estimate = float("inf")
+        slow: list[Replica] = []
+        any_sound = False
+        for replica in self.list_usable(now_ms, tried):
+            has_room = replica.has_room(limit)
+            if may_probe and has_room and replica.is_probe_due(now_ms):
+                return replica
+            if replica.is_stalled(now_ms):
+                continue
+            slowness = replica.get_slowness(now_ms)
+            if slowness > SLOW_FACTOR:
+                if has_room:
+                    slow.append(replica)
+                continue
+            any_sound = True
+            if has_room:
+                estimate = replica.estimate(slowness=slowness, domain=domain)
+                if estimate < best_estimate:
+                    best, best_estimate = replica, estimate
+        if best is not None or any_sound or not slow:
+            # The wait for a sound one is shorter than a slow one takes.
+            return best
+        return min(slow, key=lambda replica: replica.get_slowness(now_ms))
 
     def open_connection(
         self,
@@ -151,12 +159,9 @@
         if replica.idle:
             return replica.idle.pop()
         connection = Connection(
-            exchange=ForwardExchange(
-                record=replica.record,
-                clock=self._kernel.clock,
-                names=self._kernel.settings.gateway.headers,
-            ),
+            record=replica.record,
             clock=self._kernel.clock,
+            names=self._kernel.settings.gateway.headers,
             finish=finish,
         )
         self._spawned += 1
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -9,7 +9,6 @@
     Ejected,
     Evidence,
     Failed,
-    NoEvidence,
     Observation,
     Overtaken,
     Probing,
@@ -77,10 +76,6 @@
             connection.close()
         self.idle.clear()
 
-    def is_sound(self, now_ms: float) -> bool:
-        """Returns whether it answers, about as fast as usual."""
-        return not self.is_stalled(now_ms) and not self.is_slow(now_ms)
-
     def is_stalled(self, now_ms: float) -> bool:
         """Returns whether it has been silent for longer than it should."""
         for exchange, usual in self.under_way.items():
@@ -110,22 +105,23 @@
                 slow = self.get_slowness(now_ms) > SLOW_FACTOR
                 return slow and now_ms - self.tried_ms > SLOW_PROBE_MS
 
-    def is_slow(self, now_ms: float) -> bool:
-        """Returns whether its exchanges take far longer than usual."""
-        return self.get_slowness(now_ms) > SLOW_FACTOR
-
     def get_slowness(self, now_ms: float) -> float:
         """Returns how many times longer than usual an exchange is expected to take."""
         return self.evidence.estimate_ms(
             record=self.record, neutral_ms=1.0, now_ms=now_ms
         )
 
-    def estimate(self, *, now_ms: float, domain: str) -> float:
-        """Returns the expected time of an exchange, in usual ones."""
+    def estimate(self, *, slowness: float, domain: str) -> float:
+        """Returns the expected time of an exchange, in usual ones.
+
+        Args:
+            slowness: What `get_slowness` returns now.
+            domain: The owner's failure domain.
+        """
         cold = COLD_FACTOR if self.record.cold else 1.0
-        busy = BUSY_WEIGHT * len(self.under_way) / max(1, self.record.slots)
+        busy = BUSY_WEIGHT * len(self.under_way) / self.record.slots
         far = 0.0 if self.record.failure_domain == domain else FAR_WEIGHT
-        return self.get_slowness(now_ms) * cold * (1.0 + busy) + far
+        return slowness * cold * (1.0 + busy) + far
 
     def begin(self, exchange: Exchange, usual: Usual, now_ms: float) -> None:
         """Notes that an exchange starts."""
@@ -184,9 +180,5 @@
             return Failed()
         case _ if exchange.aborted:
             return Overtaken(elapsed_ms=slowness)
-        case forward_exchange.NotSent(reason=reason) if (
-            reason == forward_exchange.REASON_DEADLINE
-        ):
-            return NoEvidence()
         case _:
             return Failed()
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -320,6 +320,14 @@
     assert len(upstream.arrived) == 1
 
 
+def test_silence_ends_at_the_deadline_as_unknown_and_breaks_off_the_work(world):
+    upstream = world.add("u1", stay_silent)
+    world.submit(remaining_ms=150.0, target_ms=60.0)
+    (outcome,) = world.wait_for()
+    assert isinstance(outcome, PartUnknown)
+    assert upstream.left.acquire(timeout=5)
+
+
 def test_a_leaving_upstream_gets_nothing_more(world):
     leaving = world.add("u1", answer, failure_domain="a")
     world.add("u2", answer, failure_domain="b")
