--- a/packages/gooseberrymux/src/gooseberrymux/parts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/parts.py
@@ -7,16 +7,14 @@
 
 from result import Err, Ok
 
-from gooseberrymux import journal, metrics
+from gooseberrymux import metrics
 from gooseberrymux.calls import (
-    CANDIDATES_LOGGED,
     REASON_PEER_LOST,
     DirectDispatch,
     Inbox,
     OwnerDispatch,
     create_dispatch_mode,
 )
-from gooseberrymux.documents import DocumentChanged
 from gooseberrymux.forward_messages import (
     PART_OUTCOME_TYPES,
     CancelForward,
@@ -26,11 +24,9 @@
     PartsMerged,
     PartUnknown,
 )
-from gooseberrymux.inventory import INVENTORY_NAME, Inventory
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.membership import MemberChanged, Membership
-from gooseberrymux.ownership import rank_service_owners, select_strongest
 from gooseberrymux.peers import MessagesNotSent, PeerLost, Peers
+from gooseberrymux.placement import Placement
 from gooseberrymux.pools import Pools
 from gooseberrymux.records import InstanceIdentity
 
@@ -58,20 +54,17 @@
         self.open = set(message.services)
 
 
-@service("parts", requires=("peers", "membership", "inventory", "pools"))
+@service("parts", requires=("peers", "placement", "pools"))
 class Parts:
     """Finds the owner of each service, sends it the parts, takes in the outcomes."""
 
     __slots__ = (
         "_kernel",
         "_peers",
-        "_membership",
-        "_inventory",
+        "_placement",
         "_pools",
         "_mode",
         "_calls",
-        "_owners",
-        "_view",
         "_lock",
         "_counter",
     )
@@ -79,21 +72,16 @@
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._peers = kernel.find("peers", Peers)
-        self._membership = kernel.find("membership", Membership)
-        self._inventory = kernel.find("inventory", Inventory)
+        self._placement = kernel.find("placement", Placement)
         self._pools = kernel.find("pools", Pools)
         self._mode = create_dispatch_mode(kernel.settings.policy)
         self._calls: dict[str, PartsCall] = {}
-        self._owners: dict[str, str] = {}
-        self._view = 0
         self._lock = threading.Lock()
         self._counter = itertools.count(1)
         for outcome_type in PART_OUTCOME_TYPES:
             self._peers.register(outcome_type, self._accept)
         kernel.subscribe(PeerLost, self._handle_lost)
         kernel.subscribe(MessagesNotSent, self._handle_not_sent)
-        kernel.subscribe(MemberChanged, self._handle_member)
-        kernel.subscribe(DocumentChanged, self._handle_document)
 
     def start(self) -> None:
         """Nothing to start."""
@@ -195,40 +183,11 @@
         metrics.dropped_total.inc({"reason": "late_or_foreign_outcome"})
 
     def _find_owner(self, service_name: str) -> str:
-        own_name = self._peers.identity.name
         match self._mode:
             case DirectDispatch():
-                return own_name
+                return self._peers.identity.name
             case OwnerDispatch():
-                # Kept until a member or the list changes: hashing over all members
-                # for each part would cost more than the rest of it.
-                owner = self._owners.get(service_name)
-                return owner or self._place(service_name, own_name)
-
-    def _place(self, service_name: str, own_name: str) -> str:
-        view = self._view
-        records = self._inventory.list_service(service_name)
-        candidates = rank_service_owners(
-            key=service_name,
-            domains={record.failure_domain for record in records},
-            members=select_strongest(
-                self._membership.list_live(),
-                most=self._kernel.settings.forwarding.owners,
-            ),
-            count=CANDIDATES_LOGGED,
-        )
-        owner = candidates[0].name if candidates else own_name
-        journal.record_decision(
-            "placement.service_owner",
-            chosen=owner,
-            among=[member.name for member in candidates],
-            reason="highest score among strong live members near its upstreams",
-            service=service_name,
-        )
-        with self._lock:
-            if view == self._view:
-                self._owners[service_name] = owner
-        return owner
+                return self._placement.find_owner(service_name)
 
     def _get_incarnation(self, owner: str) -> int:
         if owner == self._peers.identity.name:
@@ -292,18 +251,6 @@
                     )
                 )
 
-    def _handle_member(self, event: MemberChanged) -> None:
-        self._forget_owners()
-
-    def _handle_document(self, event: DocumentChanged) -> None:
-        if event.name == INVENTORY_NAME:
-            self._forget_owners()
-
-    def _forget_owners(self) -> None:
-        with self._lock:
-            self._view += 1
-            self._owners.clear()
-
 
 def list_services(outcome: PartOutcome) -> list[str]:
     """Returns the services that an outcome is about."""
