Test the adapter against a stand-in of the machines' store; settings in the units given

The bounds may be fractions, so a window in whole milliseconds made of text could keep the process from starting; the time between a stop signal and the kill now comes from the machine's settings as well.

--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -90,7 +90,7 @@
     def drain(self, deadline_ms: float) -> None:
         """Lets the balancer notice, then refuses new work and finishes the old."""
         clock = self._kernel.clock
-        settled_ms = clock.now_ms() + self._kernel.settings.api.settle_ms
+        settled_ms = clock.now_ms() + self._kernel.settings.settle_ms
         self._kernel.wait_until(lambda: False, min(settled_ms, deadline_ms))
         with self._lock:
             self._refusing = True
--- a/packages/gooseberrymux/src/gooseberrymux/main.py
+++ b/packages/gooseberrymux/src/gooseberrymux/main.py
@@ -77,7 +77,7 @@
     journal.record_event("instance.started", name=settings.instance.name)
     failure = kernel.wait_for_end()
     journal.record_event("instance.stopping", failure=failure)
-    drained = kernel.drain(clock.now_ms() + settings.api.drain_timeout_ms)
+    drained = kernel.drain(clock.now_ms() + settings.drain_timeout_ms)
     if not drained:
         journal.record_event("instance.drain_cut_short")
         # Threads may be inside requests that nobody waits for any more.
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -10,6 +10,7 @@
 
 from gooseberrymux import forward_exchange, journal, metrics
 from gooseberrymux.budgets import WindowBudget
+from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.forward_exchange import Declined, NotSent, Replied
 from gooseberrymux.forward_messages import (
@@ -198,7 +199,7 @@
         self._budget = WindowBudget(
             share=forwarding.extra_share * SHARE_KEPT,
             slack=forwarding.extra_slack / SLACK_OWNERS,
-            window_ms=forwarding.extra_window_ms,
+            window_ms=forwarding.extra_window_s * MS_PER_S,
         )
         self._items: dict[tuple[str, str], Item] = {}
         self._outbox: list[tuple[Reply, PartOutcome]] = []
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -10,11 +10,17 @@
 import pydantic
 import yaml
 
+from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.errors import UserError
 
 # Unknown keys are refused so that a mistyped key never falls back to a default.
 STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
 
+# Parts of the time between a stop signal and the kill: until then callers are served,
+# and until then what is in flight may end. The rest is for the exit itself.
+SETTLE_SHARE = 0.47
+DRAIN_SHARE = 0.88
+
 
 def check_host(host: str) -> str:
     """Returns the host if it is an IP number.
@@ -223,7 +229,7 @@
     callers: AddressField
     health: AddressField
     headers: HeaderNames
-    request_limit: Count = 256
+    grace_s: Annotated[float, pydantic.Field(ge=0)] = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -233,8 +239,8 @@
     __pydantic_config__ = STRICT
 
     extra_share: Share = 0.2
-    extra_slack: Count = 54
-    extra_window_ms: DurationMs = 10_000
+    extra_slack: Annotated[float, pydantic.Field(ge=0)] = 54.0
+    extra_window_s: Annotated[float, pydantic.Field(gt=0)] = 10.0
     owners: Count = 16
     queue_limit: Count = 256
 
@@ -256,6 +262,20 @@
     forwarding: ForwardingSettings
     services: list[str]
 
+    @property
+    def settle_ms(self) -> float:
+        """How long callers are still served after a stop signal."""
+        if self.gateway.grace_s:
+            return SETTLE_SHARE * self.gateway.grace_s * MS_PER_S
+        return self.api.settle_ms
+
+    @property
+    def drain_timeout_ms(self) -> float:
+        """How long requests in flight may take after a stop signal."""
+        if self.gateway.grace_s:
+            return DRAIN_SHARE * self.gateway.grace_s * MS_PER_S
+        return self.api.drain_timeout_ms
+
 
 def load_settings(path: Path) -> Settings:
     """Reads a settings file over the defaults that ship with the package.
--- a/packages/gooseberrystand/src/gooseberrystand/server.py
+++ b/packages/gooseberrystand/src/gooseberrystand/server.py
@@ -164,6 +164,10 @@
         """Serves a PUT."""
         self._serve()
 
+    def do_DELETE(self) -> None:
+        """Serves a DELETE."""
+        self._serve()
+
     def log_message(self, format: str, *arguments: object) -> None:
         """Logs no calls."""
 
--- /dev/null
+++ b/tests/machines/test_deploy.py
@@ -0,0 +1,88 @@
+"""The deploy file and its settings template, without the users' platform."""
+
+import shlex
+import tomllib
+from pathlib import Path
+
+import pytest
+from template import render
+
+from gooseberrymux.kernel import find_factory
+from gooseberrymux.settings import parse_settings
+
+ROOT = Path(__file__).parents[2]
+FIELDS = {
+    "nodeName": "front-a-1",
+    "zone": "z-a",
+    "region": "r",
+    "ip": "10.1.0.9",
+    "seeds": ["10.1.0.9:8106", "10.2.0.21:8106"],
+    "bindAddresses": {
+        "front": "10.1.0.9:8104",
+        "ready": "10.1.0.9:8108",
+        "control": "10.1.0.9:8106",
+    },
+    "limits": {"cpuShare": 0.537, "cores": 2},
+    "bounds": {
+        "graceS": 6,
+        "retryBudgetRatio": 0.2,
+        "retryBudgetSlack": 54,
+        "budgetWindowS": 10,
+    },
+    "platform": {"address": "10.200.1.7:8102"},
+}
+
+
+def read_deploy_file():
+    return tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+
+
+def read_settings(**changes):
+    role = read_deploy_file()["roles"]["entry"]
+    text = (ROOT / role["template"]).read_text()
+    return parse_settings(render(text, {**FIELDS, **changes}), source="template")
+
+
+def test_the_template_gives_settings_that_pass_the_check():
+    settings = read_settings()
+    assert settings.instance.name == "front-a-1"
+    assert str(settings.instance.peers) == "10.1.0.9:8106"
+    assert str(settings.gateway.callers) == "10.1.0.9:8104"
+    assert str(settings.gateway.health) == "10.1.0.9:8108"
+    assert settings.instance.capacity == pytest.approx(1.074)
+    assert [str(seed) for seed in settings.membership.seeds] == FIELDS["seeds"]
+    assert settings.platform.url == "http://10.200.1.7:8102"
+    assert settings.forwarding.extra_window_s == 10
+    assert settings.settle_ms < settings.drain_timeout_ms < 6_000
+
+
+def test_fractions_and_missing_seeds_are_no_hindrance():
+    # Guards against a process that does not start on another deployment.
+    bounds = {
+        **FIELDS["bounds"],
+        "graceS": 4.5,
+        "budgetWindowS": 2.5,
+        "retryBudgetSlack": 7.5,
+    }
+    settings = read_settings(bounds=bounds, seeds=[])
+    assert settings.membership.seeds == []
+    assert settings.forwarding.extra_window_s == 2.5
+    assert settings.drain_timeout_ms < 4_500
+
+
+def test_every_service_of_the_settings_is_found():
+    for name in read_settings().services:
+        assert find_factory(name).service_name == name.rsplit(".", 1)[-1]
+
+
+def test_the_command_names_a_module_and_the_settings_file():
+    role = read_deploy_file()["roles"]["entry"]
+    words = shlex.split(role["run"])
+    assert words[:3] == ["python3", "-m", "gooseberrymux.main"]
+    assert words[-2] == "--settings"
+
+
+def test_the_build_copies_packages_that_exist():
+    words = read_deploy_file()["build"].split()
+    sources = words[words.index("-R") + 1 : -1]
+    assert sources and all((ROOT / source).is_dir() for source in sources)
--- /dev/null
+++ b/tests/machines/test_entries.py
@@ -0,0 +1,163 @@
+"""Translation of the store's entries: every field, and entries that can't be read."""
+
+import copy
+
+import pytest
+
+from gooseberrymux.records import Rank
+from gooseberrymux.routes import check_document
+from gooseberryplatform.entries import (
+    EntryError,
+    translate_configuration,
+    translate_route,
+    translate_server,
+)
+
+SERVER = {
+    "meta": {"name": "i-1", "revision": 7, "createRev": 3},
+    "spec": {
+        "service": "s1",
+        "address": "10.0.0.9:8080",
+        "zone": "z-a",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "sequence": 4,
+        "born": 1_700_000_000_123,
+    },
+}
+ROUTE = {
+    "name": "r-1",
+    "host": "h.example",
+    "pathPrefix": "/a/",
+    "routeType": "idempotent",
+    "timeoutMs": 1000,
+    "targetLatencyMs": 61.5,
+    "priority": 0,
+    "maxAttempts": 2,
+    "service": "s1",
+}
+CONFIGURATION = {
+    "meta": {"name": "main"},
+    "spec": {
+        "version": 7,
+        "routes": [ROUTE],
+        "services": [{"name": "s1", "maxConnections": 26}, {"name": "s2"}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+    },
+}
+
+
+def test_a_server_becomes_an_upstream():
+    assert translate_server(SERVER) == {
+        "name": "i-1",
+        "host": "10.0.0.9",
+        "port": 8080,
+        "service": "s1",
+        "failure_domain": "z-a",
+        "epoch": 1_700_000_000_123,
+        "state": "live",
+        "slots": 2,
+        "cold": False,
+    }
+
+
+def test_a_draining_or_cold_server_is_told():
+    item = copy.deepcopy(SERVER)
+    item["spec"] |= {"state": "draining", "coldRemainingMs": 900.5}
+    found = translate_server(item)
+    assert (found["state"], found["cold"]) == ("leaving", True)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("service", None),
+        ("service", 7),
+        ("address", "10.0.0.9"),
+        ("address", ":80"),
+        ("zone", []),
+        ("slots", "2"),
+        ("slots", True),
+        ("state", "asleep"),
+        ("state", None),
+        ("born", "now"),
+        ("coldRemainingMs", "soon"),
+    ],
+)
+def test_a_server_that_can_not_be_read_is_refused(field, value):
+    # Guards against an entry of another writer that names a server to use.
+    item = copy.deepcopy(SERVER)
+    item["spec"][field] = value
+    with pytest.raises(EntryError):
+        translate_server(item)
+
+
+@pytest.mark.parametrize("item", [None, {}, {"spec": []}, {"spec": {}, "meta": None}])
+def test_an_item_without_its_parts_is_refused(item):
+    with pytest.raises(EntryError):
+        translate_server(item)
+
+
+def test_a_configuration_passes_the_products_check():
+    body = translate_configuration(CONFIGURATION)
+    assert check_document(body) is None
+    assert body["generation"] == 7
+    assert body["connections"] == {"s1": 26}
+    assert body["limits"]["idle_timeout_ms"] == 15000
+    (route,) = body["routes"]
+    assert route["rank"] == Rank.URGENT.value
+    assert route["repeatable"] is True
+    assert route["target"] == {"service": "s1"}
+
+
+@pytest.mark.parametrize(
+    ("change", "target"),
+    [
+        (
+            {"split": [{"service": "a", "weight": 3}, {"service": "b", "weight": 0.5}]},
+            {
+                "parts": [
+                    {"service": "a", "weight": 3.0},
+                    {"service": "b", "weight": 0.5},
+                ]
+            },
+        ),
+        (
+            {"fanoutServices": ["a", "b"], "topK": 5, "minSuccessShare": 0.75},
+            {"services": ["a", "b"], "top": 5, "minimum_share": 0.75},
+        ),
+    ],
+)
+def test_targets(change, target):
+    route = translate_route({**ROUTE, "service": None, **change})
+    assert route["target"] == target
+
+
+@pytest.mark.parametrize(
+    ("change", "field", "value"),
+    [
+        ({"priority": 1}, "rank", "standard"),
+        ({"priority": 9}, "rank", "patient"),
+        ({"priority": None}, "rank", "patient"),
+        ({"routeType": "non_idempotent"}, "repeatable", False),
+        ({"routeType": "something else"}, "repeatable", False),
+        ({"maxAttempts": None}, "attempts", 1),
+    ],
+)
+def test_what_is_unknown_is_taken_for_the_safer_case(change, field, value):
+    assert translate_route({**ROUTE, **change})[field] == value
+
+
+@pytest.mark.parametrize("field", ["version", "routes", "services", "limits"])
+def test_a_configuration_without_a_field_is_refused(field):
+    item = copy.deepcopy(CONFIGURATION)
+    del item["spec"][field]
+    with pytest.raises(EntryError, match=field):
+        translate_configuration(item)
--- /dev/null
+++ b/tests/machines/test_store_platform.py
@@ -0,0 +1,133 @@
+"""The adapter against a stand-in that speaks the store's published protocol."""
+
+import copy
+
+import pytest
+from test_entries import CONFIGURATION, SERVER
+
+from gooseberrymux.clock import Clock
+from gooseberrymux.kernel import Kernel
+from gooseberryplatform.platform import StorePlatform
+from gooseberrystand.machine_store import MachineStore
+from harness import create_settings
+
+ROUTES, SERVERS = "routes/", "instances"
+
+
+class World:
+    def __init__(self):
+        self.store = MachineStore()
+        settings = create_settings(
+            platform={
+                "url": f"http://127.0.0.1:{self.store.port}",
+                "timeout_ms": 300,
+                "watch_timeout_ms": 200,
+            }
+        )
+        kernel = Kernel(settings=settings, clock=Clock())
+        self.platform = StorePlatform(kernel=kernel)
+
+    def write_server(self, name="i-1", **changes):
+        return self.store.write("servers", name, {**SERVER["spec"], **changes})
+
+    def write_configuration(self, **changes):
+        return self.store.write("config", "main", {**CONFIGURATION["spec"], **changes})
+
+    def read(self, prefix, revision=0):
+        return self.platform.watch(prefix=prefix, revision=revision)
+
+    def read_names(self, revision=0):
+        (found,) = self.read(SERVERS, revision).unwrap().objects
+        return [record["name"] for record in found.value["upstreams"]]
+
+
+@pytest.fixture
+def world():
+    opened = World()
+    yield opened
+    opened.platform.stop()
+    opened.store.close()
+
+
+def test_the_configuration_is_listed_and_watched(world):
+    world.write_configuration()
+    listed = world.read(ROUTES).unwrap()
+    assert [(o.name, o.version) for o in listed.objects] == [("routes/current", 7)]
+    world.write_configuration(version=12)
+    changed = world.read(ROUTES, listed.revision).unwrap()
+    assert changed.objects[0].value["generation"] == 12
+    assert changed.revision > listed.revision
+    idle = world.read(ROUTES, changed.revision).unwrap()
+    assert (idle.objects, idle.revision) == ([], changed.revision)
+
+
+def test_before_the_first_configuration_there_is_none(world):
+    assert world.read(ROUTES).unwrap().objects == []
+
+
+def test_servers_are_one_document_that_follows_their_entries(world):
+    world.write_server("i-1")
+    world.write_server("i-2")
+    listed = world.read(SERVERS).unwrap()
+    assert [u["name"] for u in listed.objects[0].value["upstreams"]] == ["i-1", "i-2"]
+    world.write_server("i-2", state="draining")
+    world.store.remove("servers", "i-1")
+    changed = world.read(SERVERS, listed.revision).unwrap()
+    (upstream,) = changed.objects[0].value["upstreams"]
+    assert (upstream["name"], upstream["state"]) == ("i-2", "leaving")
+    assert changed.objects[0].value["generation"] == changed.revision
+
+
+def test_a_list_of_several_pages_is_read_whole(world):
+    for number in range(120):
+        world.write_server(f"i-{number:03}")
+    assert len(world.read_names()) == 120
+    assert len(world.store.calls) == 3
+
+
+def test_an_entry_that_can_not_be_read_names_no_server_and_hides_no_other(world):
+    world.write_server("i-1")
+    world.store.write("servers", "i-2", "bytes")
+    world.store.write("servers", "i-3", {"service": 7})
+    changes = world.read(SERVERS).unwrap()
+    assert [u["name"] for u in changes.objects[0].value["upstreams"]] == ["i-1"]
+    assert [m.name for m in changes.malformed] == ["servers/i-2", "servers/i-3"]
+
+
+def test_a_configuration_that_can_not_be_read_is_reported_and_not_used(world):
+    world.write_configuration(routes=None)
+    changes = world.read(ROUTES).unwrap()
+    assert changes.objects == []
+    assert changes.malformed[0].name == "routes/current"
+    assert "routes" in changes.malformed[0].message
+
+
+def test_another_object_of_the_kind_is_not_the_configuration(world):
+    world.store.write("config", "other", copy.deepcopy(CONFIGURATION["spec"]))
+    assert world.read(ROUTES).unwrap().objects == []
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+def test_a_refused_call_is_an_error(world, status):
+    world.store.set_faults(status=status)
+    assert world.read(ROUTES).is_err()
+    assert world.read(SERVERS, 5).is_err()
+    world.store.set_faults()
+    assert world.read(SERVERS).is_ok()
+
+
+def test_a_history_that_is_gone_is_an_error_and_a_list_helps(world):
+    # Guards against a watch that misses what happened while the history was dropped.
+    revision = world.write_server("i-1")
+    world.store.remove("servers", "i-1")
+    world.write_server("i-2")
+    world.store.forget_history()
+    assert world.read(SERVERS, revision).is_err()
+    assert world.read_names() == ["i-2"]
+
+
+def test_a_silent_store_ends_the_call_at_its_timeout(world):
+    world.store.set_faults(silent=True)
+    assert world.read(ROUTES).is_err()
+    world.store.set_faults()
+    assert world.read(ROUTES).is_ok()
