Write logs to standard output through a bounded queue; refuse deep JSON and long headers

Log lines went to standard error from the thread of the request and blocked it while the reader was slow. New lines: the platform lost and regained, and each change of an upstream's state. A JSON body nested 5,000 deep raised RecursionError and was answered 500; it is 400 now, and the peer decoder refuses such a frame. Headers over 16 KiB on the JSON listeners are answered 431.

--- a/packages/gooseberrymux/src/gooseberrymux/codec.py
+++ b/packages/gooseberrymux/src/gooseberrymux/codec.py
@@ -114,7 +114,7 @@
     try:
         decoded = _frame_decoder.decode(data)
         messages = [_decoders[kind].decode(body) for kind, body in decoded.messages]
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         return Err(refuse(str(error)))
     except KeyError as error:
         return Err(refuse(f"unknown message type {error}"))
--- a/packages/gooseberrymux/src/gooseberrymux/journal.py
+++ b/packages/gooseberrymux/src/gooseberrymux/journal.py
@@ -2,17 +2,21 @@
 
 import sys
 from collections.abc import Sequence
-from typing import IO
 
 import eliot
 
+from gooseberrymux.clock import Clock
 from gooseberrymux.errors import MuxError
+from gooseberrymux.log_writer import LogWriter
 
 
-def open_journal(*, instance: str, stream: IO[str] | None = None) -> None:
-    """Sends all log lines to `stream` (standard error by default) as JSON."""
+def open_journal(*, instance: str, clock: Clock) -> LogWriter:
+    """Sends all log lines to standard output as JSON; returns what writes them."""
+    writer = LogWriter(clock=clock, descriptor=sys.stdout.fileno())
+    writer.start()
     eliot.add_global_fields(instance=instance)
-    eliot.to_file(stream or sys.stderr)
+    eliot.add_destinations(writer.take)
+    return writer
 
 
 def record_event(event: str, **fields: object) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/main.py
+++ b/packages/gooseberrymux/src/gooseberrymux/main.py
@@ -3,7 +3,6 @@
 import os
 import signal
 import socket
-import sys
 from pathlib import Path
 from typing import Annotated
 
@@ -13,6 +12,7 @@
 from gooseberrymux.clock import Clock
 from gooseberrymux.errors import UserError
 from gooseberrymux.kernel import Kernel
+from gooseberrymux.log_writer import LogWriter
 from gooseberrymux.settings import Settings, load_settings
 from gooseberrymux.settings_file import SettingsFile
 
@@ -33,8 +33,10 @@
 def run(settings: SettingsOption) -> None:
     """Runs one entry instance until it is told to stop."""
     checked = load_or_exit(settings)
-    journal.open_journal(instance=checked.instance.name)
-    failure = run_instance(checked, path=settings)
+    clock = Clock()
+    log_writer = journal.open_journal(instance=checked.instance.name, clock=clock)
+    failure = run_instance(checked, path=settings, clock=clock, log_writer=log_writer)
+    log_writer.close()
     raise typer.Exit(EXIT_FAILED if failure else EXIT_OK)
 
 
@@ -54,17 +56,20 @@
         raise typer.Exit(EXIT_BAD_SETTINGS) from None
 
 
-def run_instance(settings: Settings, *, path: Path) -> str | None:
+def run_instance(
+    settings: Settings, *, path: Path, clock: Clock, log_writer: LogWriter
+) -> str | None:
     """Runs an instance until a signal or a failure.
 
     Args:
         settings: What the settings file holds.
         path: The settings file, which is followed.
+        clock: The clock.
+        log_writer: Closed before the process ends with threads still busy.
 
     Returns:
         The failure or what cut the drain short; None after a graceful stop.
     """
-    clock = Clock()
     kernel = Kernel(settings=settings, clock=clock)
     file = SettingsFile(path=path, kernel=kernel)
     signals = open_signals()
@@ -81,7 +86,7 @@
     if not drained:
         journal.record_event("instance.drain_cut_short")
         # Threads may be inside requests that nobody waits for any more.
-        sys.stderr.flush()
+        log_writer.close()
         os._exit(EXIT_FAILED)
     file.stop()
     kernel.stop()
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -65,6 +65,9 @@
     "gooseberrymux_upstream_connections_total", "Connections opened to upstreams."
 )
 faults_total = Counter("gooseberrymux_faults_total", "Faults by step.")
+log_lines_dropped_total = Counter(
+    "gooseberrymux_log_lines_dropped_total", "Log lines that were not written."
+)
 
 
 def render_metrics(accept: str) -> tuple[bytes, dict[str, str]]:
--- a/packages/gooseberrymux/src/gooseberrymux/platform.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform.py
@@ -9,7 +9,7 @@
 import urllib3
 from result import Err, Ok, Result
 
-from gooseberrymux import metrics
+from gooseberrymux import journal, metrics
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.records import RunState
@@ -110,7 +110,15 @@
 class Platform:
     """Calls the object API; each method is one call."""
 
-    __slots__ = ("_kernel", "_http", "_url", "_counts", "_in_flight", "_changed")
+    __slots__ = (
+        "_kernel",
+        "_http",
+        "_url",
+        "_counts",
+        "_in_flight",
+        "_changed",
+        "_answers",
+    )
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
@@ -124,6 +132,8 @@
         self._counts: dict[str, int] = {}
         self._in_flight = 0
         self._changed = threading.Condition()
+        # Whether the latest call was answered; None before the first.
+        self._answers: bool | None = None
 
     def start(self) -> None:
         """Nothing to start: connections open with the first call."""
@@ -218,8 +228,22 @@
         finally:
             self._leave(call)
         self._count(call, "failed" if result.is_err() else "answered")
+        self._record_change(call, result)
         return result
 
+    def _record_change(self, call: Call, result: Result[dict, PlatformError]) -> None:
+        with self._changed:
+            before, self._answers = self._answers, result.is_ok()
+        match result:
+            case Err(error) if before is not False:
+                journal.record_event(
+                    "platform.lost", call=call.kind, reason=error.message
+                )
+            case Ok(_) if not before:
+                journal.record_event("platform.regained", call=call.kind)
+            case _:
+                pass
+
     def _enter(self, call: Call) -> bool:
         if call.kind == "watch":
             # Watches wait for long and are few: one for each prefix of a watcher.
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from gooseberrymux import forward_exchange
+from gooseberrymux import forward_exchange, journal
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.evidence import (
     SERVING,
@@ -160,6 +160,22 @@
                 # An upstream that answers takes its full share at once: the owner
                 # sees each of its answers and leaves it again as soon as one fails.
                 self.evidence.state = SERVING
+        self._record_change(type(before).__name__, observation, exchange)
+
+    def _record_change(
+        self, before: str, observation: Observation, exchange: Exchange
+    ) -> None:
+        state = type(self.evidence.state).__name__
+        if state != before:
+            journal.record_event(
+                "upstream.state",
+                upstream=self.record.name,
+                epoch=self.record.epoch,
+                before=before,
+                state=state,
+                observed=type(observation).__name__,
+                request_id=exchange.call.request_id,
+            )
 
 
 def read_observation(
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -7,6 +7,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+import cheroot.server
 import cheroot.wsgi
 from result import Err, Ok, Result
 
@@ -14,6 +15,7 @@
 from gooseberrymux.settings import Address
 
 SHUTDOWN_TIMEOUT_S = 5
+HEADER_LIMIT_BYTES = 16 * 1024
 REQUEST_QUEUE_SIZE = 256
 STOP_TOUCH_S = 0.02
 
@@ -71,13 +73,32 @@
         start_response(STATUS_LINES[response.status], list(headers.items()))
         return [response.body]
 
-    return cheroot.wsgi.Server(
+    server = cheroot.wsgi.Server(
         (address.host, address.port),
         run,
         numthreads=threads,
         request_queue_size=REQUEST_QUEUE_SIZE,
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
+    server.max_request_header_size = HEADER_LIMIT_BYTES
+    server.ConnectionClass = LimitedConnection
+    return server
+
+
+class LimitedRequest(cheroot.server.HTTPRequest):
+    """A request whose oversized headers are refused with the status meant for them."""
+
+    def simple_response(self, status: str, msg: str = "") -> None:
+        """Answers what cheroot refuses by itself."""
+        if not self.ready and str(status).startswith("413"):
+            status = "431 Request Header Fields Too Large"
+        super().simple_response(status, msg)
+
+
+class LimitedConnection(cheroot.server.HTTPConnection):
+    """A connection of requests with limited headers."""
+
+    RequestHandlerClass = LimitedRequest
 
 
 def stop_server(server: cheroot.wsgi.Server) -> None:
@@ -137,7 +158,7 @@
     data = request.environ["wsgi.input"].read(length)
     try:
         decoded = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return Err(refuse_body(400, "malformed_request", f"not JSON: {error}"))
     if not isinstance(decoded, dict):
         return Err(refuse_body(400, "malformed_request", "expected a JSON object"))
--- /dev/null
+++ b/tests/test_web.py
@@ -0,0 +1,87 @@
+"""Malformed and oversized requests get a clear refusal from the JSON listeners."""
+
+import contextlib
+import io
+import json
+import socket
+import threading
+
+import pytest
+from result import Ok
+
+from gooseberrymux import web
+from gooseberrymux.settings import Address
+
+
+@contextlib.contextmanager
+def serve(handle):
+    server = web.create_server(
+        address=Address(host="127.0.0.1", port=0), threads=2, handle=handle
+    )
+    server.prepare()
+    thread = threading.Thread(target=server.serve)
+    thread.start()
+    try:
+        yield server.bind_addr
+    finally:
+        web.stop_server(server)
+        thread.join()
+
+
+def exchange(address, data):
+    with socket.create_connection(address, timeout=10) as sock:
+        # The server may refuse and close before all of it is sent.
+        with contextlib.suppress(OSError):
+            sock.sendall(data)
+        with contextlib.suppress(OSError):
+            return sock.makefile("rb").readline()
+    return b""
+
+
+def read_body(data):
+    request = web.Request(
+        method="POST",
+        path="/",
+        query="",
+        headers={},
+        environ={"CONTENT_LENGTH": str(len(data)), "wsgi.input": io.BytesIO(data)},
+    )
+    return web.read_json(request, limit_bytes=1_000_000)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"[" * 5_000 + b"]" * 5_000,
+        b'{"a":' * 5_000 + b"1" + b"}" * 5_000,
+        b'{"a":' * 5_000,
+        b"\xff",
+        b"[]",
+        b"",
+    ],
+)
+def test_a_body_that_does_not_decode_is_refused_as_not_run(data):
+    refused = read_body(data).unwrap_err()
+    assert refused.status == 400
+    assert json.loads(refused.body)["error"]["run_state"] == "not_run"
+
+
+def test_a_body_that_decodes_is_returned():
+    assert read_body(b'{"a": 1}') == Ok({"a": 1})
+
+
+def test_headers_beyond_the_limit_are_refused_before_the_handler():
+    handled = []
+
+    def handle(request):
+        handled.append(request)
+        return web.create_json(status=200, body={})
+
+    with serve(handle) as address:
+        long = b"a" * (2 * web.HEADER_LIMIT_BYTES)
+        head = b"GET / HTTP/1.1\r\nHost: a\r\nX-Long: " + long + b"\r\n\r\n"
+        assert b" 431 " in exchange(address, head)
+        assert not handled
+        ok = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+        assert b" 200 " in exchange(address, ok)
+        assert len(handled) == 1
