--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -46,6 +46,9 @@
 # watcher, and each start would hold a watch on each prefix until its timeout.
 MEMBERS_WAIT_MS = 200
 WATCH_KEY = "documents/watch"
+# An instance that starts beside others waits this long for their documents before it
+# reads the platform itself, so that a start of the whole fleet costs a few reads only.
+PEERS_WAIT_MS = 1_500.0
 # Idle watches before the whole prefix is read again: a platform that restarted with
 # a higher revision gives no other sign of the changes that a watch has missed.
 RELIST_AFTER_IDLE = 6
@@ -84,7 +87,7 @@
         "_table",
         "_applying",
         "_changed",
-        "_member_changes",
+        "_changes",
         "_prefixes",
         "_needed",
         "_by_content",
@@ -103,7 +106,7 @@
         # generations in rising order; a handler may put a document in force itself.
         self._applying = threading.RLock()
         self._changed = threading.Condition()
-        self._member_changes = 0
+        self._changes = 0
         self._prefixes: list[str] = []
         self._needed: list[str] = []
         self._by_content: list[str] = []
@@ -227,6 +230,7 @@
                     if other:
                         self._report_fork(document, other, source)
                     self._announce(document, source)
+        self._note_change()
         self._push(document, source)
         return True
 
@@ -276,16 +280,18 @@
         journal.record_fault(step=step, peer=source, error=error)
 
     def _watch(self, prefix: str) -> None:
+        self._await_peers(prefix)
         backoff = Backoff(generator=self._random)
         revision = 0
         idle = 0
         first_read = True
         while not self._stopping:
+            seen = self._changes
             if not self._must_read(prefix, first=revision == 0):
                 self._watching[prefix] = False
                 # What this instance misses until it watches again is read anew.
                 revision = -1
-                self._pause(WATCHER_CHECK_MS, wake_on_members=True)
+                self._pause(WATCHER_CHECK_MS, wake_after=seen)
                 continue
             self._watching[prefix] = True
             started_ms = self._kernel.clock.now_ms()
@@ -320,6 +326,28 @@
             # Also after an empty answer that came at once: no thread may spin.
             self._pause(backoff.draw_ms())
 
+    def _await_peers(self, prefix: str) -> None:
+        """Waits at the start until others have sent the documents, or it is time."""
+        settings = self._kernel.settings
+        seeds = settings.membership.seeds
+        if not seeds or settings.instance.peers in seeds:
+            return
+        until_ms = self._kernel.clock.now_ms() + PEERS_WAIT_MS
+        while not self._stopping:
+            seen = self._changes
+            left_ms = until_ms - self._kernel.clock.now_ms()
+            if left_ms <= 0 or self._has_documents(prefix):
+                return
+            if len(self._membership.list_live()) > 1 and self._is_watcher():
+                return
+            self._pause(left_ms, wake_after=seen)
+
+    def _has_documents(self, prefix: str) -> bool:
+        return any(
+            document.name.startswith(prefix)
+            for document in self._table.list_documents()
+        )
+
     def _must_read(self, prefix: str, *, first: bool) -> bool:
         """Returns whether this instance reads a prefix from the platform.
 
@@ -328,9 +356,7 @@
         """
         if self._is_watcher():
             return True
-        return first and not any(
-            doc.name.startswith(prefix) for doc in self._table.list_documents()
-        )
+        return first and not self._has_documents(prefix)
 
     def _is_watcher(self) -> bool:
         watchers = rank_members(
@@ -355,10 +381,11 @@
 
     def _exchange(self) -> None:
         while not self._stopping:
+            seen = self._changes
             starting = self._send_offers()
             period_ms = self._kernel.settings.membership.exchange_period_ms
             if starting:
-                self._pause(period_ms / STARTING_PERIOD_DIVISOR, wake_on_members=True)
+                self._pause(period_ms / STARTING_PERIOD_DIVISOR, wake_after=seen)
             else:
                 # Jitter keeps the exchanges of a fleet apart.
                 self._pause(period_ms * self._random.uniform(0.75, 1.25))
@@ -375,19 +402,22 @@
             self._peers.send(name, offer)
         return starting
 
-    def _pause(self, duration_ms: float, *, wake_on_members: bool = False) -> None:
+    def _pause(self, duration_ms: float, *, wake_after: int | None = None) -> None:
+        """Waits, at most until there are more changes than `wake_after`."""
         until_ms = self._kernel.clock.now_ms() + duration_ms
         with self._changed:
-            seen = self._member_changes
             while not self._stopping:
                 left_ms = until_ms - self._kernel.clock.now_ms()
-                if left_ms <= 0 or (wake_on_members and self._member_changes != seen):
+                if left_ms <= 0 or wake_after not in (None, self._changes):
                     return
                 self._kernel.clock.wait(self._changed, left_ms)
 
     def _handle_member(self, event: MemberChanged) -> None:
+        self._note_change()
+
+    def _note_change(self) -> None:
         with self._changed:
-            self._member_changes += 1
+            self._changes += 1
             self._changed.notify_all()
 
     def _handle_offer(self, sender: InstanceIdentity, offer: DocumentOffer) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/fanout.py
+++ b/packages/gooseberrymux/src/gooseberrymux/fanout.py
@@ -15,8 +15,6 @@
 
 # Of a fan-out that is late anyway, parts are waited for this many latency targets more.
 LATE_TARGETS = 1.0
-# An answer whose last part arrives this soon after its target is decided as if on time.
-ON_TIME_SLACK_MS = 5.0
 # Parts named in a log line beside those that are missing or were sent again.
 SLOWEST_LOGGED = 3
 
@@ -56,7 +54,8 @@
 
     Args:
         target: What it asks for.
-        target_at_ms: When an answer ceases to be on time.
+        target_at_ms: When to answer with the parts that are in.
+        late_after_ms: When an answer ceases to be on time.
         deadline_ms: When it has to be answered.
         latency_target_ms: The route's latency target.
     """
@@ -64,7 +63,8 @@
     __slots__ = (
         "_target",
         "_target_at_ms",
-        "_late_at_ms",
+        "_late_after_ms",
+        "_give_up_at_ms",
         "_deadline_ms",
         "_parts",
         "_records",
@@ -79,13 +79,15 @@
         *,
         target: FanoutTarget,
         target_at_ms: float,
+        late_after_ms: float,
         deadline_ms: float,
         latency_target_ms: float,
     ):
         self._target = target
         self._target_at_ms = target_at_ms
-        late_ms = target_at_ms + LATE_TARGETS * latency_target_ms
-        self._late_at_ms = min(deadline_ms, late_ms)
+        self._late_after_ms = late_after_ms
+        give_up_ms = target_at_ms + LATE_TARGETS * latency_target_ms
+        self._give_up_at_ms = min(deadline_ms, give_up_ms)
         self._deadline_ms = deadline_ms
         self._parts: dict[str, MergedPart] = {}
         self._records: list[bytes] = []
@@ -144,11 +146,11 @@
             return Waiting(until_ms=self._target_at_ms)
         # Just in time with a part missing is worth more to the caller than whole and
         # late; where it is late already, the parts are waited for a while longer.
-        on_time = now_ms < self._target_at_ms + ON_TIME_SLACK_MS
-        if enough and (on_time or now_ms >= self._late_at_ms):
+        on_time = now_ms < self._late_after_ms
+        waited = now_ms >= self._give_up_at_ms
+        if enough and (on_time or waited):
             return Complete()
-        late = now_ms < self._late_at_ms
-        return Waiting(until_ms=self._late_at_ms if late else self._deadline_ms)
+        return Waiting(until_ms=self._deadline_ms if waited else self._give_up_at_ms)
 
     def list_open(self) -> list[str]:
         """Returns the services without an outcome."""
--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -20,8 +20,12 @@
 from gooseberrymux.routes import FanoutTarget, HttpRoute, SingleTarget, SplitTarget
 from gooseberrymux.splits import Splitter
 
-# The answer still has to be written and to reach the caller.
-ANSWER_MARGIN_MS = 8.0
+# The answer still has to be merged and written, which takes longer on a machine of less
+# than one core, and has to reach the caller: usually so long ...
+ANSWER_WORK_MS = 6.0
+ANSWER_TRAVEL_MS = 2.0
+# ... and at least so long.
+SHORTEST_ANSWER_MS = 3.0
 # Owners that can't be reached are replaced by the next one this often.
 DISPATCHES_LIMIT = 4
 # The owner that was asked is gone or going; another one may run the part.
@@ -51,11 +55,6 @@
     arrived_ms: float
     deadline_ms: float
 
-    @property
-    def target_at_ms(self) -> float:
-        """When an answer that is ready is still on time for the caller."""
-        return self.arrived_ms + self.route.latency_target_ms - ANSWER_MARGIN_MS
-
 
 @_frozen
 class CallerLeft:
@@ -98,12 +97,14 @@
 class Forwarding:
     """Runs forwarded requests, each in its caller's thread."""
 
-    __slots__ = ("_kernel", "_parts", "_splitter")
+    __slots__ = ("_kernel", "_parts", "_splitter", "_margin_ms")
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._parts = kernel.find("parts", Parts)
         self._splitter = Splitter()
+        capacity = min(1.0, kernel.settings.instance.capacity)
+        self._margin_ms = ANSWER_TRAVEL_MS + ANSWER_WORK_MS / capacity
 
     def start(self) -> None:
         """Nothing to start."""
@@ -133,7 +134,7 @@
         attempt = Attempts(forward=forward, limit=forward.route.attempts)
         ids = self._send(forward, [name], attempt, inbox)
         while True:
-            for event in inbox.take(forward.deadline_ms - ANSWER_MARGIN_MS):
+            for event in inbox.take(forward.deadline_ms - self._margin_ms):
                 match event:
                     case CallerLeft():
                         self._parts.cancel(ids)
@@ -151,7 +152,7 @@
                         ids = self._send(forward, [name], attempt, inbox)
                     case _:
                         return self._refuse_single(forward, event)
-            if self._kernel.clock.now_ms() >= forward.deadline_ms - ANSWER_MARGIN_MS:
+            if self._kernel.clock.now_ms() >= forward.deadline_ms - self._margin_ms:
                 self._parts.cancel(ids)
                 return self._refuse(
                     forward,
@@ -163,10 +164,12 @@
     def _run_fanout(
         self, forward: Forward, target: FanoutTarget, inbox: Inbox
     ) -> Result:
+        target_ms = forward.arrived_ms + forward.route.latency_target_ms
         fanout = Fanout(
             target=target,
-            target_at_ms=forward.target_at_ms,
-            deadline_ms=forward.deadline_ms - ANSWER_MARGIN_MS,
+            target_at_ms=target_ms - self._margin_ms,
+            late_after_ms=target_ms - SHORTEST_ANSWER_MS,
+            deadline_ms=forward.deadline_ms - self._margin_ms,
             latency_target_ms=forward.route.latency_target_ms,
         )
         attempts = {
@@ -232,7 +235,7 @@
         self, forward: Forward, event: PartOutcome, attempts: "Attempts"
     ) -> bool:
         """Returns whether a part goes to another owner, and counts that."""
-        if self._kernel.clock.now_ms() >= forward.deadline_ms - ANSWER_MARGIN_MS:
+        if self._kernel.clock.now_ms() >= forward.deadline_ms - self._margin_ms:
             return False
         match event:
             case PartNotRun(reason=reason) if reason in REASONS_OWNER:
--- a/tests/machines/test_store_platform.py
+++ b/tests/machines/test_store_platform.py
@@ -78,6 +78,21 @@
     assert changed.objects[0].value["generation"] == changed.revision
 
 
+def test_two_watchers_make_the_same_document_of_one_revision(world):
+    """Guards against two contents of one generation, which peers send back and forth.
+
+    One has seen the entries come one after the other, the other lists them.
+    """
+    at = world.read(SERVERS).unwrap().revision
+    for name in ("i-2", "i-1", "i-3"):
+        world.write_server(name)
+        seen = world.read(SERVERS, at).unwrap()
+        at = seen.revision
+    listed = world.read(SERVERS).unwrap()
+    assert seen.revision == listed.revision
+    assert seen.objects == listed.objects
+
+
 def test_a_list_of_several_pages_is_read_whole(world):
     for number in range(120):
         world.write_server(f"i-{number:03}")
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,5 +1,6 @@
 """Copies of platform objects: order, gossip between nodes, the watch."""
 
+import contextlib
 import dataclasses
 import math
 import random
@@ -22,7 +23,7 @@
     Rejected,
     hash_body,
 )
-from gooseberrymux.documents import DocumentChanged
+from gooseberrymux.documents import PEERS_WAIT_MS, DocumentChanged
 from gooseberrymux.membership import MemberChanged
 from gooseberrymux.messages import DeltaStep, DocumentBody, DocumentDelta, DocumentOffer
 from gooseberrymux.platform import (
@@ -33,6 +34,7 @@
     WatchedChanges,
 )
 from gooseberrymux.records import RunState
+from gooseberrymux.settings import Address
 
 copies = st.builds(
     lambda generation, content: create_document(
@@ -329,13 +331,58 @@
         node._handle_member(MemberChanged(instance="entry-1", state="dead"))
         return True
 
-    clock_wait = type(clock).wait
-    type(clock).wait = lambda self, *args: change_members(*args)
+    with change_wait(node, lambda self, *args: change_members(*args)):
+        node._pause(10_000, wake_after=node._changes)
+    assert clock.now_ms() == 0
+
+
+def create_waiting_node():
+    """Returns a node that has a seed beside itself."""
+    node = Network().add("entry-0")
+    seed = Address(host="127.0.0.1", port=9)
+    node._kernel.settings = dataclasses.replace(
+        node._kernel.settings,
+        membership=dataclasses.replace(node._kernel.settings.membership, seeds=[seed]),
+    )
+    return node
+
+
+def test_instance_that_starts_waits_for_its_peers_before_it_reads_the_platform():
+    """Guards against a read of the platform by each instance of a fleet that starts."""
+    node = create_waiting_node()
+    node._await_peers("")
+    assert node._kernel.clock.now_ms() == PEERS_WAIT_MS
+
+
+def test_documents_of_a_peer_end_the_wait_at_the_start():
+    node = create_waiting_node()
+
+    def wait(clock, condition, timeout_ms):
+        node.offer(create_document({"generation": 1}), source="entry-1")
+
+    with change_wait(node, wait):
+        node._await_peers("")
+    assert node._kernel.clock.now_ms() == 0
+
+
+def test_a_seed_does_not_wait_for_its_peers():
+    """Guards against a fleet whose instances all wait for each other."""
+    node = create_waiting_node()
+    node._kernel.settings.membership.seeds[:] = [node._kernel.settings.instance.peers]
+    node._await_peers("")
+    assert node._kernel.clock.now_ms() == 0
+
+
+@contextlib.contextmanager
+def change_wait(node, wait):
+    """Has waits of a node's clock end as a test says."""
+    kind = type(node._kernel.clock)
+    clock_wait = kind.wait
+    kind.wait = wait
     try:
-        node._pause(10_000, wake_on_members=True)
+        yield
     finally:
-        type(clock).wait = clock_wait
-    assert clock.now_ms() == 0
+        kind.wait = clock_wait
 
 
 def test_offer_of_a_complete_set_is_answered_with_what_it_lacks():
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -14,7 +14,7 @@
 )
 from gooseberrymux.routes import FanoutTarget
 
-TARGET_AT_MS, DEADLINE_MS = 100.0, 1000.0
+TARGET_AT_MS, LATE_AFTER_MS, DEADLINE_MS = 100.0, 110.0, 1000.0
 
 
 def create_fanout(count=4, minimum=0.5, top=2):
@@ -22,6 +22,7 @@
     return Fanout(
         target=FanoutTarget(services=services, top=top, minimum_share=minimum),
         target_at_ms=TARGET_AT_MS,
+        late_after_ms=LATE_AFTER_MS,
         deadline_ms=DEADLINE_MS,
         latency_target_ms=100.0,
     )
@@ -71,6 +72,15 @@
     assert [part.service for part in fanout.list_missing()] == ["s2", "s3"]
 
 
+def test_enough_parts_after_the_planned_moment_are_answered_while_it_is_on_time():
+    """Guards against an answer that is held until it is late, although it could go."""
+    fanout = create_fanout()
+    fanout.take(merged("s0"), 1.0)
+    assert fanout.judge(TARGET_AT_MS) == Waiting(until_ms=200.0)
+    fanout.take(merged("s1"), LATE_AFTER_MS - 1.0)
+    assert fanout.judge(LATE_AFTER_MS - 1.0) == Complete()
+
+
 def test_late_anyway_it_waits_for_more_parts_but_not_until_the_deadline():
     fanout = create_fanout()
     fanout.take(merged("s0"), 1.0)
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -88,10 +88,19 @@
     world = World()
     assert world.choose() == "u0"
     world.begin("u0")
+    assert world.choose() == "u0"
+    world.begin("u0")
     assert world.choose() == "u1"
     assert world.choose(tried={"u0", "u1"}) == "u2"
 
 
+def test_the_own_failure_domain_is_left_once_it_is_slower():
+    world = World()
+    for _ in range(10):
+        world.observe("u0", replied(took_ms=20.0), took_ms=20.0)
+    assert world.choose() == "u1"
+
+
 def test_no_upstream_gets_more_than_its_slots_or_connections():
     for world, room in ((World(), 2), (World(limit=1), 1)):
         for name in ("u0", "u1", "u2"):
