Let requests that can still be on time go first within their rank

A queued request that can still meet its target now goes before late ones of its rank; late ones are kept.

--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -54,6 +54,9 @@
 # answer is late, and is wasted if it goes out sooner than that.
 HEDGE_MEDIANS = 1.5
 HEDGE_RECHECK_MS = 5.0
+# What is left of a latency target once an upstream has replied: the way to the entry,
+# the other parts, and the answer.
+ANSWER_RESERVE_MS = 10.0
 # Told to callers where no queue says how long it takes.
 RETRY_AFTER_MS = 200.0
 
@@ -131,6 +134,11 @@
         self.failure = REASON_NO_REPLICA
         self.failed_reply: PartReplied | None = None
 
+    def can_be_on_time(self, now_ms: float) -> bool:
+        """Returns whether its caller's latency target can still be met."""
+        target_at_ms = self.arrived_ms + self.call.target_ms - ANSWER_RESERVE_MS
+        return now_ms + self.usual.median_ms <= target_at_ms
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Send(Exchange):
@@ -286,7 +294,8 @@
         return None
 
     def _estimate_wait_ms(self, item: Item, now_ms: float) -> float:
-        ahead = self._queue.count_ahead(item.call.rank) + len(self._again)
+        prefer = prefer_on_time(now_ms) if item.can_be_on_time(now_ms) else None
+        ahead = self._queue.count_ahead(item.call.rank, prefer) + len(self._again)
         slots = max(1, self._replicas.count_slots(now_ms))
         return ahead * item.usual.median_ms / slots
 
@@ -299,7 +308,9 @@
             if not item.settled and not self._send_again(item, now_ms)
         ]
         while len(self._queue) and self._replicas.has_room(now_ms):
-            item = self._queue.take()
+            # Late work would make each request behind it late as well, for as long as
+            # the backlog lasts.
+            item = self._queue.take(prefer_on_time(now_ms))
             if now_ms >= item.deadline_ms:
                 self._fail(item, REASON_DEADLINE)
             elif not self._send_to_best(item, CAUSE_FIRST, now_ms):
@@ -523,3 +534,8 @@
         if item.call.repeatable:
             for send in item.sends:
                 send.connection.abort(send)
+
+
+def prefer_on_time(now_ms: float) -> Callable[[Item], bool]:
+    """Returns which queued items go before the others of their rank."""
+    return lambda item: item.can_be_on_time(now_ms)
--- a/packages/gooseberrymux/src/gooseberrymux/schedule.py
+++ b/packages/gooseberrymux/src/gooseberrymux/schedule.py
@@ -90,13 +90,22 @@
         queue.append(item)
         return True
 
-    def take(self) -> object | None:
-        """Removes and returns the next item, or None if all queues are empty."""
+    def take(self, prefer: Callable[[object], bool] | None = None) -> object | None:
+        """Removes and returns the next item, or None if all queues are empty.
+
+        Args:
+            prefer: Items of the chosen rank for which it holds go before the others.
+        """
         waiting = [rank for rank in RANKS if self._queues[rank]]
         if not waiting:
             return None
-        rank = self._choose(waiting)
-        return self._queues[rank].popleft()
+        queue = self._queues[self._choose(waiting)]
+        if prefer is not None:
+            for place, item in enumerate(queue):
+                if prefer(item):
+                    del queue[place]
+                    return item
+        return queue.popleft()
 
     def remove(self, predicate: Callable[[object], bool]) -> list:
         """Removes and returns all items for which `predicate` holds."""
@@ -108,13 +117,21 @@
             self._queues[rank] = kept
         return removed
 
-    def count_ahead(self, rank: Rank) -> float:
+    def count_ahead(
+        self, rank: Rank, prefer: Callable[[object], bool] | None = None
+    ) -> float:
         """Estimates how many dispatches go before a new item of `rank`.
 
         Later arrivals are left out, so that work is refused early only if what is
         queued already makes it late.
+
+        Args:
+            rank: The rank of the new item.
+            prefer: As for `take`; the new item is one for which it holds.
         """
         lengths = self.count_by_rank()
+        if prefer is not None:
+            lengths[rank] = sum(map(prefer, self._queues[rank]))
         own = lengths[rank]
         above, below = split_ranks(rank)
         match self._policy:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -185,6 +185,47 @@
     assert upstream.connections == 1
 
 
+def test_a_backlog_that_is_late_does_not_make_new_requests_late(world):
+    """Guards against a queue that serves everybody late for as long as it is full."""
+    gate = threading.Semaphore(0)
+    order = []
+
+    def hold(request):
+        order.append(request.headers["x-request-id"])
+        gate.acquire()
+        answer(request)
+
+    world.add("u1", hold)
+    world.submit(request_id="running", attempts=1)
+    for name in ("late-1", "late-2"):
+        world.submit(request_id=name, attempts=1, target_ms=-1.0)
+    world.submit(request_id="urgent", attempts=1, target_ms=2_000.0)
+    late = {"target_ms": -1.0, "rank": Rank.PATIENT}
+    world.submit(request_id="patient", attempts=1, **late)
+    gate.release(5)
+    world.wait_for(5)
+    # Also late work goes before a lower rank, and none of it is dropped.
+    assert order == ["running", "urgent", "late-1", "late-2", "patient"]
+
+
+def test_a_backlog_that_is_late_is_no_reason_to_refuse_what_goes_before_it(world):
+    gate = threading.Semaphore(0)
+
+    def hold(request):
+        gate.acquire()
+        answer(request)
+
+    world.add("u1", hold)
+    world.submit(attempts=1)
+    for _ in range(40):
+        world.submit(attempts=1, target_ms=-1.0)
+    before = len(world.outcomes)
+    world.submit(request_id="urgent", attempts=1, remaining_ms=400.0, target_ms=300.0)
+    assert len(world.outcomes) == before
+    gate.release(50)
+    world.wait_for(before + 1)
+
+
 def test_a_silent_upstream_is_hedged_and_the_loser_broken_off(world):
     silent = world.add("u1", stay_silent, failure_domain="a")
     world.add("u2", answer, failure_domain="b")
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -175,3 +175,22 @@
             assert queue.take().startswith("patient")
         queue.put(Rank.URGENT, f"urgent-{round_number}")
         assert queue.take() == f"urgent-{round_number}"
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_preferred_items_go_first_within_their_rank_and_none_is_lost(policy):
+    """Guards against work that is late anyway and holds up what could be on time."""
+    queue = create_queue(policy)
+    fill(queue, {Rank.URGENT: 4, Rank.PATIENT: 4})
+    taken = [queue.take(lambda item: item[1] >= 2) for _ in range(8)]
+    assert queue.take() is None
+    for rank in (Rank.URGENT, Rank.PATIENT):
+        assert [number for found, number in taken if found is rank] == [2, 3, 0, 1]
+
+
+def test_what_goes_behind_a_preferred_item_is_not_counted_ahead_of_it():
+    queue = create_queue(Strict())
+    fill(queue, {Rank.URGENT: 3, Rank.STANDARD: 4})
+    ahead = queue.count_ahead(Rank.STANDARD, lambda item: item[1] >= 3)
+    assert ahead == 3 + 1
+    assert queue.count_ahead(Rank.STANDARD) == 3 + 4
