--- a/packages/gooseberrymux/src/gooseberrymux/fanout.py
+++ b/packages/gooseberrymux/src/gooseberrymux/fanout.py
@@ -70,7 +70,7 @@
         "_records",
         "_failures",
         "_arrived_ms",
-        "may_have_run",
+        "_has_run",
         "retry_after_ms",
     )
 
@@ -93,7 +93,7 @@
         self._records: list[bytes] = []
         self._failures: dict[str, str] = {}
         self._arrived_ms: dict[str, float] = {}
-        self.may_have_run = False
+        self._has_run = False
         self.retry_after_ms = 0.0
 
     def take(self, outcome: PartOutcome, now_ms: float) -> None:
@@ -105,19 +105,19 @@
                 # Another owner has replied meanwhile.
                 return
             case PartReplied(status=status):
-                self.may_have_run = True
+                self._has_run = True
                 self._failures[outcome.service] = f"status_{status}"
             case PartNotRun(reason=reason, retry_after_ms=retry_after_ms):
                 self.retry_after_ms = max(self.retry_after_ms, retry_after_ms)
                 self._failures[outcome.service] = reason
             case PartUnknown(reason=reason):
-                self.may_have_run = True
+                self._has_run = True
                 self._failures[outcome.service] = reason
 
     def _take_merged(
         self, parts: list[MergedPart], records: bytes, now_ms: float
     ) -> None:
-        self.may_have_run = True
+        self._has_run = True
         if any(part.service in self._parts for part in parts):
             # Their records can't be told from those that are in already.
             return
@@ -152,6 +152,11 @@
             return Complete()
         return Waiting(until_ms=self._deadline_ms if waited else self._give_up_at_ms)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run a part, also one without an outcome yet."""
+        return self._has_run or bool(self.list_open())
+
     def list_open(self) -> list[str]:
         """Returns the services without an outcome."""
         return [
--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -159,6 +159,8 @@
                     code=REASON_NO_REPLY,
                     run_state=RunState.UNKNOWN,
                     message=f"no reply of {name} in time",
+                    service=name,
+                    owner=self._parts.find_owner(name),
                 )
 
     def _run_fanout(
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -249,11 +249,14 @@
         return Answer(reply=reply, close=self._leaving)
 
     def _record_refusal(self, received: Received, refusal: Refusal) -> None:
+        table = self._routes.get_current()
         journal.record_event(
             "gateway.refused",
             request_id=received.request.get(self._names.request_id.lower()) or "",
             host=received.request.get("host") or "",
             target=received.request.target,
+            generation=table.generation if table else None,
+            upstreams=len(self._inventory.list_upstreams()),
             code=refusal.code,
             reason=refusal.message,
         )
--- a/packages/gooseberrymux/src/gooseberrymux/parts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/parts.py
@@ -108,7 +108,7 @@
         """
         by_owner: dict[str, list[str]] = {}
         for name in template.services:
-            by_owner.setdefault(self._find_owner(name), []).append(name)
+            by_owner.setdefault(self.find_owner(name), []).append(name)
         own_name = self._peers.identity.name
         # Others first: they work on theirs while this instance starts its own.
         owners = sorted(by_owner, key=lambda owner: owner == own_name)
@@ -182,7 +182,8 @@
                 return
         metrics.dropped_total.inc({"reason": "late_or_foreign_outcome"})
 
-    def _find_owner(self, service_name: str) -> str:
+    def find_owner(self, service_name: str) -> str:
+        """Returns the instance that a request for a service goes to."""
         match self._mode:
             case DirectDispatch():
                 return self._peers.identity.name
--- a/tests/test_fanout.py
+++ b/tests/test_fanout.py
@@ -114,10 +114,21 @@
 )
 def test_not_run_is_said_only_if_no_part_can_have_run(outcome, may_have_run):
     fanout = create_fanout()
+    for name in ("s1", "s2", "s3"):
+        fanout.take(refused(name), 1.0)
     fanout.take(outcome, 1.0)
     assert fanout.may_have_run is may_have_run
 
 
+def test_a_part_that_is_still_out_may_have_run():
+    """Guards against a refusal that says not run while owners work on other parts."""
+    fanout = create_fanout()
+    for name in ("s0", "s1", "s2"):
+        fanout.take(refused(name), 1.0)
+    assert fanout.judge(1.0) == Hopeless()
+    assert fanout.may_have_run
+
+
 def test_a_success_needs_at_least_one_part():
     fanout = create_fanout(count=2, minimum=0.0)
     assert isinstance(fanout.judge(150.0), Waiting)
