Log changed lists of upstreams and the state behind each refusal

A request refused for want of upstreams could not be explained from the log: no line said when which upstream went. inventory.changed names the services that changed with their upstreams, pool.refused the queue and the upstreams' states at that moment.

--- a/packages/gooseberrymux/src/gooseberrymux/inventory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -21,6 +21,8 @@
 # from which a lapse is assumed. Upstreams that leave do so a few at a time.
 LAPSE_COUNT = 3
 LAPSE_SHARE = 0.2
+# Services named in one log line.
+SERVICES_LOGGED = 20
 
 _upstreams = pydantic.TypeAdapter(list[UpstreamRecord])
 _instances = pydantic.TypeAdapter(list[InstanceRecord])
@@ -152,10 +154,34 @@
         by_service: dict[str, list[UpstreamRecord]] = {}
         for record in self._upstreams.values():
             by_service.setdefault(record.service, []).append(record)
+        before = self._by_service
         self._by_service = {
-            name: keep_equal(self._by_service.get(name, ()), tuple(records))
+            name: keep_equal(before.get(name, ()), tuple(records))
             for name, records in by_service.items()
         }
+        self._record_change(before)
+
+    def _record_change(self, before: dict[str, tuple[UpstreamRecord, ...]]) -> None:
+        changed = sorted(
+            name
+            for name in before | self._by_service
+            if before.get(name, ()) is not self._by_service.get(name, ())
+        )
+        if changed:
+            journal.record_event(
+                "inventory.changed",
+                services={
+                    name: describe_records(self._by_service.get(name, ()))
+                    for name in changed[:SERVICES_LOGGED]
+                },
+                more=max(0, len(changed) - SERVICES_LOGGED),
+                held=len(self._held),
+            )
+
+
+def describe_records(records: tuple[UpstreamRecord, ...]) -> dict[str, str]:
+    """Returns the state of each upstream of a service, for a log line."""
+    return {record.name: record.state.value for record in records}
 
 
 def keep_equal(
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -512,6 +512,7 @@
                 ),
             )
         else:
+            self._record_refusal(item, reason)
             self._settle(
                 item,
                 PartNotRun(
@@ -524,6 +525,20 @@
                 ),
             )
 
+    def _record_refusal(self, item: Item, reason: str) -> None:
+        now_ms = self._clock.now_ms()
+        journal.record_event(
+            "pool.refused",
+            request_id=item.call.request_id,
+            service=self.service,
+            reason=reason,
+            waited_ms=round(now_ms - item.arrived_ms, 1),
+            remaining_ms=round(item.deadline_ms - now_ms, 1),
+            queued=len(self._queue),
+            usual_ms=round(item.usual.median_ms, 1),
+            upstreams=self._replicas.describe(now_ms),
+        )
+
     def _settle(self, item: Item, outcome: PartOutcome) -> None:
         self._close_item(item)
         self._outbox.append((item.reply, outcome))
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from gooseberrymux import journal
 from gooseberrymux.inventory import LAPSE_HOLD_MS, Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
@@ -86,3 +87,16 @@
     assert world.inventory.list_service("s0") is before
     assert world.inventory.list_service("s1")[-1].slots == 9
     assert world.inventory.list_service("unknown") == ()
+
+
+def test_a_changed_list_is_logged_by_the_services_that_changed(world, monkeypatch):
+    """Guards against a refusal for want of upstreams that no log line explains."""
+    lines = []
+    monkeypatch.setattr(
+        journal, "record_event", lambda event, **fields: lines.append((event, fields))
+    )
+    world.publish(RECORDS)
+    assert lines == []
+    world.publish(RECORDS[:-1])
+    (fields,) = [fields for event, fields in lines if event == "inventory.changed"]
+    assert fields["services"] == {"s1": dict.fromkeys(("u1", "u3", "u5", "u7"), "live")}
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from gooseberrymux import journal
 from gooseberrymux.clock import Clock
 from gooseberrymux.departures import Departures
 from gooseberrymux.forward_messages import (
@@ -352,6 +353,17 @@
     assert upstream.arrived == []
 
 
+def test_a_refusal_is_logged_with_the_state_that_decided_it(world, monkeypatch):
+    lines = []
+    monkeypatch.setattr(
+        journal, "record_event", lambda event, **fields: lines.append((event, fields))
+    )
+    world.submit(request_id="r-7")
+    (fields,) = [fields for event, fields in lines if event == "pool.refused"]
+    assert (fields["request_id"], fields["reason"]) == ("r-7", "no_replica")
+    assert (fields["queued"], fields["upstreams"]) == (0, {})
+
+
 def test_queued_work_is_refused_at_its_deadline_and_not_sent_later(world):
     upstream = world.add("u1", stay_silent)
     world.submit(repeatable=False)
