Keep rank order while work waits for a better upstream; use a slow one once that is quicker

Whenever the upstream with room counted as slow, the next queued request left the rank queue for the list of repeats, which is served first and in order of arrival; it became the queue, without ranks, and urgent work waited behind it. Queued work now stays in the rank queue until an upstream is chosen, a slow one is chosen once the wait for a better one is longer, and callers who come back with less time than the route allows count from their first attempt, so that they go after those that can be on time, and cost no early hedge.

--- a/packages/gooseberrymux/src/gooseberrymux/fanout.py
+++ b/packages/gooseberrymux/src/gooseberrymux/fanout.py
@@ -54,6 +54,7 @@
 
     Args:
         target: What it asks for.
+        started_ms: When it began.
         target_at_ms: When to answer with the parts that are in.
         late_after_ms: When an answer ceases to be on time.
         deadline_ms: When it has to be answered.
@@ -78,6 +79,7 @@
         self,
         *,
         target: FanoutTarget,
+        started_ms: float,
         target_at_ms: float,
         late_after_ms: float,
         deadline_ms: float,
@@ -86,7 +88,7 @@
         self._target = target
         self._target_at_ms = target_at_ms
         self._late_after_ms = late_after_ms
-        give_up_ms = target_at_ms + LATE_TARGETS * latency_target_ms
+        give_up_ms = max(started_ms, target_at_ms) + LATE_TARGETS * latency_target_ms
         self._give_up_at_ms = min(deadline_ms, give_up_ms)
         self._deadline_ms = deadline_ms
         self._parts: dict[str, MergedPart] = {}
--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -45,6 +45,8 @@
         route: Its route.
         generation: Generation of the routes that it was resolved by.
         arrived_ms: When it had arrived.
+        target_at_ms: When an answer ceases to be on time; past if its caller has waited
+            for too long before.
         deadline_ms: When it has to be answered.
     """
 
@@ -53,6 +55,7 @@
     route: HttpRoute
     generation: int
     arrived_ms: float
+    target_at_ms: float
     deadline_ms: float
 
 
@@ -166,11 +169,11 @@
     def _run_fanout(
         self, forward: Forward, target: FanoutTarget, inbox: Inbox
     ) -> Result:
-        target_ms = forward.arrived_ms + forward.route.latency_target_ms
         fanout = Fanout(
             target=target,
-            target_at_ms=target_ms - self._margin_ms,
-            late_after_ms=target_ms - SHORTEST_ANSWER_MS,
+            started_ms=forward.arrived_ms,
+            target_at_ms=forward.target_at_ms - self._margin_ms,
+            late_after_ms=forward.target_at_ms - SHORTEST_ANSWER_MS,
             deadline_ms=forward.deadline_ms - self._margin_ms,
             latency_target_ms=forward.route.latency_target_ms,
         )
@@ -224,7 +227,7 @@
             attempts=attempts.left if attempts else route.attempts,
             dispatched_before=attempts.dispatched if attempts else False,
             remaining_ms=forward.deadline_ms - now_ms,
-            target_ms=forward.arrived_ms + route.latency_target_ms - now_ms,
+            target_ms=forward.target_at_ms - now_ms,
             method=http.method,
             target=http.target,
             headers=http.headers,
@@ -329,6 +332,8 @@
             rank=forward.route.rank.value,
             outcome=outcome,
             elapsed_ms=round(elapsed_ms, 1),
+            target_left_ms=round(forward.target_at_ms - forward.arrived_ms),
+            deadline_left_ms=round(forward.deadline_ms - forward.arrived_ms),
             **fields,
         )
 
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -23,7 +23,7 @@
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.records import Rank, Refusal, RunState
-from gooseberrymux.routes import CallerLimits, HttpRouteTable, Routes
+from gooseberrymux.routes import CallerLimits, HttpRoute, HttpRouteTable, Routes
 
 HEALTH_THREADS = 2
 # For callers that send no id of their own.
@@ -31,6 +31,8 @@
 # Told to callers while this instance has no routes yet or is stopping.
 NOT_READY_RETRY_MS = 300
 MS_PER_S = 1_000
+# A caller that was refused early and told to come back counts as new.
+COMEBACK_TARGETS = 0.25
 STATUS_BY_CODE = {
     "no_route": 404,
     "malformed_request": 400,
@@ -202,7 +204,7 @@
         self,
         received: Received,
         table: HttpRouteTable,
-        route,
+        route: HttpRoute,
         given_ms: float | None,
         now_ms: float,
     ) -> Forward:
@@ -217,6 +219,7 @@
             route=route,
             generation=table.generation,
             arrived_ms=now_ms,
+            target_at_ms=now_ms + route.latency_target_ms - find_age(route, allowed_ms),
             deadline_ms=now_ms + allowed_ms,
         )
 
@@ -286,6 +289,17 @@
     return Ok(float(value))
 
 
+def find_age(route: HttpRoute, allowed_ms: float) -> float:
+    """Returns for how many milliseconds a caller has waited before this attempt.
+
+    Callers wait for as long as the route allows from their first attempt on, so one
+    that says that it waits less has used up the difference.
+    """
+    age_ms = route.timeout_ms - allowed_ms
+    comeback_ms = NOT_READY_RETRY_MS + COMEBACK_TARGETS * route.latency_target_ms
+    return age_ms if age_ms > comeback_ms else 0.0
+
+
 def refuse_not_ready() -> Refusal:
     """Returns the refusal of an instance that knows no routes or upstreams yet."""
     return Refusal(
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -307,16 +307,20 @@
             for item in self._again
             if not item.settled and not self._send_again(item, now_ms)
         ]
-        while len(self._queue) and self._replicas.has_room(now_ms):
+        while len(self._queue):
+            replica = self._choose(None, now_ms)
+            if replica is None:
+                # What has room is stalled or slow, so all wait for a better one.
+                break
             # Late work would make each request behind it late as well, for as long as
             # the backlog lasts.
             item = self._queue.take(prefer_on_time(now_ms))
             if now_ms >= item.deadline_ms:
                 self._fail(item, REASON_DEADLINE)
-            elif not self._send_to_best(item, CAUSE_FIRST, now_ms):
-                # What has room is stalled or slow, so it waits for a better one.
-                self._again.append(item)
-                break
+            else:
+                # It may also find out whether a slow one has recovered.
+                chosen = self._choose(item, now_ms) or replica
+                self._send(item, chosen, CAUSE_FIRST, now_ms)
 
     def _send_again(self, item: Item, now_ms: float) -> bool:
         """Sends an item that waits to be sent; returns False if it waits on."""
@@ -327,14 +331,23 @@
         return self._send_to_best(item, cause, now_ms)
 
     def _send_to_best(self, item: Item, cause: str, now_ms: float) -> bool:
-        replica = self._replicas.choose(
-            tried=item.tried, may_probe=item.call.repeatable, now_ms=now_ms
-        )
+        replica = self._choose(item, now_ms)
         if replica is None:
             return False
         self._send(item, replica, cause, now_ms)
         return True
 
+    def _choose(self, item: Item | None, now_ms: float) -> Replica | None:
+        """Returns the best upstream with room for an item, or for any queued one."""
+        waiting = len(self._queue) + len(self._again)
+        slots = max(1, self._replicas.count_slots(now_ms))
+        return self._replicas.choose(
+            tried=item.tried if item else (),
+            may_probe=item is not None and item.call.repeatable,
+            now_ms=now_ms,
+            waits=waiting / slots,
+        )
+
     def _send(self, item: Item, replica: Replica, cause: str, now_ms: float) -> None:
         usual = item.usual
         probing = replica.is_probe_due(now_ms)
@@ -383,8 +396,11 @@
         Early enough for the second to be on time, if that is possible.
         """
         soonest_ms = HEDGE_MEDIANS * item.usual.median_ms
-        target_left_ms = item.arrived_ms + item.call.target_ms - now_ms
-        return max(soonest_ms, min(item.usual.high_ms, target_left_ms - soonest_ms))
+        delay_ms = item.usual.high_ms
+        if item.can_be_on_time(now_ms):
+            target_left_ms = item.arrived_ms + item.call.target_ms - now_ms
+            delay_ms = min(delay_ms, target_left_ms - soonest_ms)
+        return max(soonest_ms, delay_ms)
 
     def _hedge(self, item: Item) -> None:
         with self._lock:
@@ -392,7 +408,7 @@
             if item.settled or len(item.sends) != 1 or item.runs_left < 1:
                 return
             replica = self._replicas.choose(
-                tried=item.tried, may_probe=False, now_ms=now_ms
+                tried=item.tried, may_probe=False, now_ms=now_ms, waits=0.0
             )
             if replica is None:
                 if now_ms + HEDGE_RECHECK_MS < item.deadline_ms:
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -96,17 +96,17 @@
             and not is_leaving(replica.record)
         ]
 
-    def has_room(self, now_ms: float) -> bool:
-        """Returns whether any upstream can take a request at once."""
-        limit = self._limit
-        return any(replica.has_room(limit) for replica in self.list_usable(now_ms))
-
     def count_slots(self, now_ms: float) -> int:
         """Returns the slots of all usable upstreams."""
         return sum(replica.record.slots for replica in self.list_usable(now_ms))
 
     def choose(
-        self, *, tried: Collection[str], may_probe: bool, now_ms: float
+        self,
+        *,
+        tried: Collection[str],
+        may_probe: bool,
+        now_ms: float,
+        waits: float = 0.0,
     ) -> Replica | None:
         """Returns the best upstream with room; None to wait for a better one.
 
@@ -114,6 +114,8 @@
             tried: Upstreams that the request was sent to before.
             may_probe: Whether the request may find out if an upstream has recovered.
             now_ms: Monotonic time in milliseconds.
+            waits: About how many usual exchanges a request would wait for one that
+                is not slow.
         """
         limit = self._limit
         domain = self._kernel.settings.instance.failure_domain
@@ -137,10 +139,13 @@
                 estimate = replica.estimate(slowness=slowness, domain=domain)
                 if estimate < best_estimate:
                     best, best_estimate = replica, estimate
-        if best is not None or any_sound or not slow:
-            # The wait for a sound one is shorter than a slow one takes.
+        if best is not None or not slow:
             return best
-        return min(slow, key=lambda replica: replica.get_slowness(now_ms))
+        fastest = min(slow, key=lambda replica: replica.get_slowness(now_ms))
+        if any_sound and fastest.get_slowness(now_ms) > 1.0 + waits:
+            # The wait for a sound one is shorter than a slow one takes.
+            return None
+        return fastest
 
     def open_connection(
         self,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,6 +1,7 @@
 """Forwarded requests from a caller's socket to upstreams and back, in one instance."""
 
 import contextlib
+import dataclasses
 import threading
 
 import pytest
@@ -12,10 +13,12 @@
     PartReplied,
     PartUnknown,
 )
-from gooseberrymux.gateway import Gateway
+from gooseberrymux.gateway import NOT_READY_RETRY_MS, Gateway, find_age
 from gooseberrymux.kernel import Kernel, LeaveStarted
 from gooseberrymux.parts import Parts
 from gooseberrymux.peers import MessagesNotSent, PeerLost
+from gooseberrymux.pools import Pools
+from gooseberrymux.routes import decode_routes
 from harness import (
     FakeDocuments,
     FakeMembership,
@@ -115,6 +118,43 @@
     assert headers["x-missing-parts"] == "0"
 
 
+@pytest.mark.parametrize(
+    ("given_ms", "age_ms"),
+    [
+        (3_000.0, 0.0),
+        (3_000.0 - NOT_READY_RETRY_MS, 0.0),
+        (2_000.0, 1_000.0),
+        (100.0, 2_900.0),
+    ],
+)
+def test_a_caller_that_comes_back_has_waited_before(given_ms, age_ms):
+    """Guards against repeats that hold up requests which could be on time.
+
+    One that was refused early and told to come back counts as new.
+    """
+    (route,) = decode_routes({"generation": 1, "routes": [create_route()]}).routes
+    route = dataclasses.replace(route, timeout_ms=3_000.0, latency_target_ms=100.0)
+    assert find_age(route, given_ms) == age_ms
+
+
+def test_a_caller_that_has_waited_for_too_long_is_late_for_its_owners(world):
+    world.publish_routes(create_route(timeout_ms=3_000.0, latency_target_ms=100.0))
+    world.publish_upstreams(s=echo)
+    calls = []
+    pools = world.kernel.find("pools", Pools)
+    submit = pools.submit
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(
+            Pools,
+            "submit",
+            lambda self, call, *rest: calls.append(call) or submit(call, *rest),
+        )
+        for deadline_ms in ("3000", "1000"):
+            assert world.open_caller().get(x_deadline_ms=deadline_ms)[0] == 200
+    assert 0.0 < calls[0].target_ms <= 100.0
+    assert calls[1].target_ms <= -1_900.0
+
+
 def test_a_part_that_is_missing_is_counted(world):
     world.publish_routes(create_route(target=FANOUT, latency_target_ms=100.0))
     world.publish_upstreams(s=lambda r: r.reply(200, b"a" * 16), t=lambda r: None)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -20,6 +20,7 @@
 from gooseberrymux.kernel import Kernel, LeaveStarted
 from gooseberrymux.pools import Pools
 from gooseberrymux.records import Rank, UpstreamState
+from gooseberrymux.replicas import Replica
 from harness import (
     FakeDocuments,
     FakeMembership,
@@ -227,6 +228,33 @@
     world.wait_for(before + 1)
 
 
+def test_work_that_waits_for_a_better_upstream_keeps_its_rank(world, monkeypatch):
+    """Guards against a backlog that goes before urgent work beside a slow upstream."""
+    monkeypatch.setattr(
+        Replica,
+        "get_slowness",
+        lambda self, now_ms: 100.0 if self.record.name == "slow" else 1.0,
+    )
+    monkeypatch.setattr(Replica, "is_probe_due", lambda self, now_ms: False)
+    gate = threading.Semaphore(0)
+    order = []
+
+    def hold(request):
+        order.append(request.headers["x-request-id"])
+        gate.acquire()
+        answer(request)
+
+    world.add("sound", hold)
+    idle = world.add("slow", answer)
+    for name in ("first", "patient-1", "patient-2"):
+        world.submit(request_id=name, rank=Rank.PATIENT, attempts=1)
+    world.submit(request_id="urgent", attempts=1)
+    gate.release(4)
+    world.wait_for(4)
+    assert order == ["first", "urgent", "patient-1", "patient-2"]
+    assert not idle.arrived
+
+
 def test_a_silent_upstream_is_hedged_and_the_loser_broken_off(world):
     silent = world.add("u1", stay_silent, failure_domain="a")
     world.add("u2", answer, failure_domain="b")
