Give the only upstream of a service work beside a long exchange

It had one upstream left, and requests that take longer than their route's time went to it five times in four seconds; each made it look paused for 0.4 s, in which its queue stood still (the phases without replies end where those requests end: 39.31, 39.85, 40.52, 41.14). Ruled out: refusals, failed sends and hedges (no such line for the service), and ownership (all entries were affected).

--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -122,12 +122,15 @@
         best: Replica | None = None
         best_estimate = float("inf")
         slow: list[Replica] = []
+        stalled: list[Replica] = []
         any_sound = False
         for replica in self.list_usable(now_ms, tried):
             has_room = replica.has_room(limit)
             if may_probe and has_room and replica.is_probe_due(now_ms):
                 return replica
             if replica.is_stalled(now_ms):
+                if has_room:
+                    stalled.append(replica)
                 continue
             slowness = replica.get_slowness(now_ms)
             if slowness > SLOW_FACTOR:
@@ -139,8 +142,13 @@
                 estimate = replica.estimate(slowness=slowness, domain=domain)
                 if estimate < best_estimate:
                     best, best_estimate = replica, estimate
-        if best is not None or not slow:
+        if best is not None:
             return best
+        if not slow:
+            # One long exchange looks like a pause. The only upstream of a service gets
+            # work all the same: waiting for another would be in vain.
+            is_only = len(self.list_usable(now_ms)) == 1
+            return stalled[0] if stalled and is_only else None
         fastest = min(slow, key=lambda replica: replica.get_slowness(now_ms))
         if any_sound and fastest.get_slowness(now_ms) > 1.0 + waits:
             # The wait for a sound one is shorter than a slow one takes.
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -134,6 +134,19 @@
     assert world.choose() is None
 
 
+def test_the_only_upstream_gets_work_beside_a_long_exchange():
+    """Guards against a service whose queue stands still while one request takes long."""
+    world = World()
+    world.inventory.records = RECORDS[:1]
+    world.replicas.refresh()
+    world.begin("u0")
+    world.clock.now += 100
+    assert world.get("u0").is_stalled(world.clock.now)
+    assert world.choose() == "u0"
+    world.begin("u0")
+    assert world.choose() is None
+
+
 def test_a_slow_upstream_gets_one_request_now_and_then():
     world = World()
     for _ in range(12):
