--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -135,7 +135,7 @@
 
 
 def test_the_only_upstream_gets_work_beside_a_long_exchange():
-    """Guards against a service whose queue stands still while one request takes long."""
+    """Guards against a queue that stands still while one request takes long."""
     world = World()
     world.inventory.records = RECORDS[:1]
     world.replicas.refresh()
