--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -14,21 +14,26 @@
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.forward_exchange import Declined, NotSent, Replied
 from gooseberrymux.forward_messages import (
-    ForwardCall,
     PartNotRun,
     PartOutcome,
     PartReplied,
     PartUnknown,
 )
 from gooseberrymux.inventory import Inventory
+from gooseberrymux.items import (
+    REASON_NO_REPLICA,
+    Item,
+    Reply,
+    Send,
+    prefer_on_time,
+)
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.replica_set import ReplicaSet
-from gooseberrymux.replicas import Replica, Usual
+from gooseberrymux.replicas import Replica
 from gooseberrymux.schedule import RANKS, RankQueue, create_policy
 from gooseberrymux.timers import Timers
 from gooseberrymux.usual_times import UsualTimes
 
-REASON_NO_REPLICA = "no_replica"
 REASON_QUEUE_FULL = "queue_full"
 REASON_DEADLINE = "deadline_unreachable"
 REASON_BUDGET = "extra_sends_used_up"
@@ -38,9 +43,6 @@
 CAUSE_HEDGE = "hedge"
 CAUSE_RETRY = "retry"
 STATUS_SERVER_ERROR = 500
-# Upstreams stop at the deadline that they are told, and the outcome still has to reach
-# the caller in time.
-DEADLINE_MARGIN_MS = 8.0
 # Extra sends are counted when they leave and at the upstream when they arrive, so a
 # part of the share is kept back for those near the edges of a window.
 SHARE_KEPT = 0.9
@@ -54,101 +56,9 @@
 # answer is late, and is wasted if it goes out sooner than that.
 HEDGE_MEDIANS = 1.5
 HEDGE_RECHECK_MS = 5.0
-# What is left of a latency target once an upstream has replied: the way to the entry,
-# the other parts, and the answer.
-ANSWER_RESERVE_MS = 10.0
 # Told to callers where no queue says how long it takes.
 RETRY_AFTER_MS = 200.0
 
-Reply = Callable[[PartOutcome], None]
-
-
-class Item:
-    """A request for this service, from its arrival to its outcome.
-
-    Attributes:
-        call: The request.
-        reply: Gets the outcome, once; must not block.
-        requester: Instance that may cancel it.
-        arrived_ms: When it arrived.
-        deadline_ms: When it is no longer worth running.
-        head: Its request line and end-to-end headers.
-        usual: What its exchanges usually take.
-        sends: Sends under way.
-        tried: Upstreams that it was sent to in this round.
-        runs_left: Upstreams on which it may still run.
-        sent: Number of sends so far.
-        first_sent_ms: When it was first sent.
-        rounds: Rounds over all upstreams so far.
-        may_have_run: Whether an upstream may have run it.
-        settled: Whether its outcome is known.
-        failure: What went wrong last.
-        failed_reply: Reply of an upstream that failed, for want of a better one.
-    """
-
-    __slots__ = (
-        "call",
-        "reply",
-        "requester",
-        "arrived_ms",
-        "deadline_ms",
-        "head",
-        "usual",
-        "sends",
-        "tried",
-        "runs_left",
-        "sent",
-        "first_sent_ms",
-        "rounds",
-        "may_have_run",
-        "settled",
-        "failure",
-        "failed_reply",
-    )
-
-    def __init__(
-        self,
-        *,
-        call: ForwardCall,
-        reply: Reply,
-        requester: str,
-        now_ms: float,
-        head: bytes,
-        usual: Usual,
-    ):
-        self.call = call
-        self.reply = reply
-        self.requester = requester
-        self.arrived_ms = now_ms
-        self.deadline_ms = now_ms + call.remaining_ms - DEADLINE_MARGIN_MS
-        self.head = head
-        self.usual = usual
-        self.sends: list[Send] = []
-        self.tried: set[str] = set()
-        self.runs_left = call.attempts
-        self.sent = 0
-        self.first_sent_ms: float | None = None
-        self.rounds = 0
-        self.may_have_run = call.dispatched_before
-        self.settled = False
-        self.failure = REASON_NO_REPLICA
-        self.failed_reply: PartReplied | None = None
-
-    def can_be_on_time(self, now_ms: float) -> bool:
-        """Returns whether its caller's latency target can still be met."""
-        target_at_ms = self.arrived_ms + self.call.target_ms - ANSWER_RESERVE_MS
-        return now_ms + self.usual.median_ms <= target_at_ms
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
-class Send(Exchange):
-    """One send of an item, with the upstream and the connection that run it."""
-
-    item: Item
-    replica: Replica
-    connection: Connection
-    cause: str
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tools:
@@ -565,8 +475,3 @@
         if item.call.repeatable:
             for send in item.sends:
                 send.connection.abort(send)
-
-
-def prefer_on_time(now_ms: float) -> Callable[[Item], bool]:
-    """Returns which queued items go before the others of their rank."""
-    return lambda item: item.can_be_on_time(now_ms)
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -11,10 +11,11 @@
     PartOutcome,
 )
 from gooseberrymux.inventory import Inventory
+from gooseberrymux.items import Item, Reply
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.merging import Collector
 from gooseberrymux.peers import Peers
-from gooseberrymux.pool import REASON_LEAVING, Item, Pool, Reply, Tools
+from gooseberrymux.pool import REASON_LEAVING, Pool, Tools
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.routes import Routes
 from gooseberrymux.timers import Timers
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -217,7 +217,7 @@
     proof: Name = "X-Reply-Proof"
     not_run: Name = "X-Not-Run"
     part_proofs: Name = "X-Part-Proofs"
-    missing_parts: Name = "X-Missing-Parts"
+    missing_parts: Name = "X-Parts-Missing"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -115,7 +115,7 @@
     status, headers, body = world.open_caller().get()
     assert (status, body) == (200, b"c" * 16 + b"b" * 16)
     assert set(headers["x-part-proofs"].split(", ")) == {"ps", "pt"}
-    assert headers["x-missing-parts"] == "0"
+    assert headers["x-parts-missing"] == "0"
 
 
 @pytest.mark.parametrize(
@@ -159,7 +159,7 @@
     world.publish_routes(create_route(target=FANOUT, latency_target_ms=100.0))
     world.publish_upstreams(s=lambda r: r.reply(200, b"a" * 16), t=lambda r: None)
     status, headers, body = world.open_caller().get()
-    assert (status, headers["x-missing-parts"], body) == (200, "1", b"a" * 16)
+    assert (status, headers["x-parts-missing"], body) == (200, "1", b"a" * 16)
     assert headers["x-part-proofs"] == PROOF
 
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -127,6 +127,19 @@
     request.reply(200, b"whole")
 
 
+def create_gate():
+    """Returns a semaphore, the ids of what arrived, and an upstream that waits."""
+    gate = threading.Semaphore(0)
+    order = []
+
+    def hold(request):
+        order.append(request.headers["x-request-id"])
+        gate.acquire()
+        answer(request)
+
+    return gate, order, hold
+
+
 def stay_silent(request):
     pass
 
@@ -167,14 +180,7 @@
 
 
 def test_urgent_work_overtakes_in_the_queue_and_slots_are_kept(world):
-    gate = threading.Semaphore(0)
-    order = []
-
-    def hold(request):
-        order.append(request.headers["x-request-id"])
-        gate.acquire()
-        answer(request)
-
+    gate, order, hold = create_gate()
     upstream = world.add("u1", hold)
     for name, rank in (("first", Rank.PATIENT), ("patient", Rank.PATIENT)):
         world.submit(request_id=name, rank=rank, attempts=1)
@@ -189,14 +195,7 @@
 
 def test_a_backlog_that_is_late_does_not_make_new_requests_late(world):
     """Guards against a queue that serves everybody late for as long as it is full."""
-    gate = threading.Semaphore(0)
-    order = []
-
-    def hold(request):
-        order.append(request.headers["x-request-id"])
-        gate.acquire()
-        answer(request)
-
+    gate, order, hold = create_gate()
     world.add("u1", hold)
     world.submit(request_id="running", attempts=1)
     for name in ("late-1", "late-2"):
@@ -211,12 +210,7 @@
 
 
 def test_a_backlog_that_is_late_is_no_reason_to_refuse_what_goes_before_it(world):
-    gate = threading.Semaphore(0)
-
-    def hold(request):
-        gate.acquire()
-        answer(request)
-
+    gate, _, hold = create_gate()
     world.add("u1", hold)
     world.submit(attempts=1)
     for _ in range(40):
@@ -236,14 +230,7 @@
         lambda self, now_ms: 100.0 if self.record.name == "slow" else 1.0,
     )
     monkeypatch.setattr(Replica, "is_probe_due", lambda self, now_ms: False)
-    gate = threading.Semaphore(0)
-    order = []
-
-    def hold(request):
-        order.append(request.headers["x-request-id"])
-        gate.acquire()
-        answer(request)
-
+    gate, order, hold = create_gate()
     world.add("sound", hold)
     idle = world.add("slow", answer)
     for name in ("first", "patient-1", "patient-2"):
