--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -302,21 +302,28 @@
 
 def refuse_not_ready() -> Refusal:
     """Returns the refusal of an instance that knows no routes or upstreams yet."""
-    return Refusal(
+    return refuse_for_now(
         code="not_ready",
         message="this instance does not know the routes and upstreams yet",
-        run_state=RunState.NOT_RUN,
         step="gateway.read",
-        retry_after_ms=NOT_READY_RETRY_MS,
     )
 
 
 def refuse_leaving() -> Refusal:
     """Returns the refusal of an instance that is stopping."""
-    return Refusal(
+    return refuse_for_now(
         code="instance_leaving",
         message="this instance is stopping; ask another one",
-        run_state=RunState.NOT_RUN,
         step="gateway.drain",
+    )
+
+
+def refuse_for_now(*, code: str, message: str, step: str) -> Refusal:
+    """Returns a refusal that another instance, or this one soon, would not give."""
+    return Refusal(
+        code=code,
+        message=message,
+        run_state=RunState.NOT_RUN,
+        step=step,
         retry_after_ms=NOT_READY_RETRY_MS,
     )
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -37,7 +37,6 @@
 REASON_QUEUE_FULL = "queue_full"
 REASON_DEADLINE = "deadline_unreachable"
 REASON_BUDGET = "extra_sends_used_up"
-REASON_ATTEMPTS = "attempts_used_up"
 REASON_LEAVING = "instance_leaving"
 CAUSE_FIRST = "first"
 CAUSE_HEDGE = "hedge"
@@ -249,13 +248,14 @@
 
     def _choose(self, item: Item | None, now_ms: float) -> Replica | None:
         """Returns the best upstream with room for an item, or for any queued one."""
-        waiting = len(self._queue) + len(self._again)
-        slots = max(1, self._replicas.count_slots(now_ms))
+        waits = 0.0
+        if waiting := len(self._queue) + len(self._again):
+            waits = waiting / max(1, self._replicas.count_slots(now_ms))
         return self._replicas.choose(
             tried=item.tried if item else (),
             may_probe=item is not None and item.call.repeatable,
             now_ms=now_ms,
-            waits=waiting / slots,
+            waits=waits,
         )
 
     def _send(self, item: Item, replica: Replica, cause: str, now_ms: float) -> None:
@@ -318,7 +318,7 @@
             if item.settled or len(item.sends) != 1 or item.runs_left < 1:
                 return
             replica = self._replicas.choose(
-                tried=item.tried, may_probe=False, now_ms=now_ms, waits=0.0
+                tried=item.tried, may_probe=False, now_ms=now_ms
             )
             if replica is None:
                 if now_ms + HEDGE_RECHECK_MS < item.deadline_ms:
