Hold a lost link until its peer is heard; probe a peer as soon as its connection stands again

What listens there then may be the next run of the peer, which refuses messages meant for the earlier one, so the earlier run was reported lost a second time with the calls made since. Ruled out: calls made before the kill (they fail with the first report) and messages to the new run. A lost link now stays lost until a frame of the peer arrives; only probes pass. So that this costs no time, the sender reports that a connection stands again and membership probes the peer then.

--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -32,6 +32,11 @@
     """The connection broke: publish what was lost."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReportUp:
+    """A connection to the lost peer stands: ask it for a sign of life."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Redial:
     """The peer is silent although the connection stands: open another one."""
@@ -42,7 +47,7 @@
     """Nothing is left to send and the link is closed."""
 
 
-Step = SendBatch | ReportDown | Redial | Close
+Step = SendBatch | ReportDown | ReportUp | Redial | Close
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -99,9 +104,10 @@
 class Link:
     """One peer: outbound queue, run of the peer, whether it is up or lost.
 
-    A link is *lost* from the moment a loss is reported until it connects again or the
-    peer is heard again. A lost link refuses messages, so that none waits for a dead
-    peer, and a second loss without anything handed over in between is not reported.
+    A link is *lost* from the moment a loss is reported until the peer is heard again:
+    after a break, what listens at its address may be its next run. A lost link refuses
+    messages, so that none waits for a dead peer, and a second loss without anything
+    handed over in between is not reported.
     """
 
     __slots__ = (
@@ -116,6 +122,7 @@
         "_incarnation",
         "_up",
         "_down",
+        "_regained",
         "_redial",
         "_connection",
         "_lost",
@@ -137,6 +144,7 @@
         self._incarnation = 0
         self._up = False
         self._down = False
+        self._regained = False
         self._redial = False
         self._connection = 0
         self._lost = False
@@ -157,7 +165,7 @@
 
     @property
     def is_lost(self) -> bool:
-        """Whether a loss was reported and the peer was not reached since."""
+        """Whether a loss was reported and the peer was not heard since."""
         return self._lost
 
     @property
@@ -203,6 +211,9 @@
                     self._redial = False
                     self._up = False
                     return Redial()
+                if self._regained:
+                    self._regained = False
+                    return ReportUp()
                 if self._closed and not (self._items and self._up):
                     return Close()
                 if self._items and self._up:
@@ -226,7 +237,11 @@
             if connection != self._connection:
                 return
             self._up = True
-            self._lost = False
+            if self._incarnation:
+                self._regained = self._lost
+            else:
+                # No earlier run is known that another one could be taken for.
+                self._lost = False
             self._changed.notify_all()
 
     def mark_down(self, connection: int = 0) -> None:
@@ -235,6 +250,7 @@
             if connection != self._connection:
                 return
             self._up = False
+            self._regained = False
             self._down = True
             self._changed.notify_all()
 
@@ -257,7 +273,7 @@
             self._awaited = max(0, self._awaited - count)
 
     def lose(self, *, silent: bool = False) -> Loss:
-        """Empties the queue and refuses messages until the peer is reached again.
+        """Empties the queue and refuses messages until the peer is heard again.
 
         Args:
             silent: The connection stands, but the peer does not answer on it.
@@ -265,7 +281,8 @@
         with self._changed:
             loss = self._lose()
             # After a short break the connection may stand again by now.
-            self._lost = silent or not self._up
+            self._regained = self._up and not silent
+            self._lost = not self._up or bool(self._incarnation)
             # It may have fallen silent for good while a new one would work.
             self._redial = silent and self._up
             self._changed.notify_all()
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -13,7 +13,7 @@
 from gooseberrymux.kernel import Kernel, LeaveStarted, SettingsChanged, service
 from gooseberrymux.members import MemberTable
 from gooseberrymux.messages import MemberUpdate, Probe, ProbeReply, ProbeRequest
-from gooseberrymux.peers import IncarnationRaised, LinkDown, Peers
+from gooseberrymux.peers import IncarnationRaised, LinkDown, LinkUp, Peers
 from gooseberrymux.probes import (
     Answered,
     AskOthers,
@@ -96,6 +96,7 @@
         self._peers.register(ProbeReply, self._handle_reply)
         self._peers.register(ProbeRequest, self._handle_request)
         kernel.subscribe(LinkDown, self._handle_down)
+        kernel.subscribe(LinkUp, self._handle_up)
         kernel.subscribe(LeaveStarted, self._handle_leave)
         kernel.subscribe(SettingsChanged, self._handle_settings)
         kernel.subscribe(IncarnationRaised, self._handle_raised)
@@ -409,6 +410,12 @@
         with self._lock:
             self._probe(event.instance, indirect=True)
 
+    def _handle_up(self, event: LinkUp) -> None:
+        # Its answer makes it usable again; the next period may be far off, and a probe
+        # may be open that was lost with the connection before.
+        with self._lock:
+            self._send(event.instance, Probe, sequence=self._probes.create_sequence())
+
     def _handle_leave(self, event: LeaveStarted) -> None:
         with self._lock:
             self._table.leave()
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -58,6 +58,13 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LinkUp:
+    """A connection to a lost peer stands again; until it is heard only probes go."""
+
+    instance: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MessagesNotSent:
     """These queued messages were dropped and certainly not sent."""
@@ -174,6 +181,7 @@
             link=link,
             drops=self._drops,
             report_down=self._report_down,
+            report_up=self._report_up,
             report_unsent=self._publish_unsent,
             count_sent=self._count_sent,
         )
@@ -424,6 +432,11 @@
         whole = dataclasses.replace(loss, unsent=[*unsent, *loss.unsent])
         self._report(link, whole, reason)
 
+    def _report_up(self, link: Link) -> None:
+        # A link that was replaced or dropped stands until its sender has ended.
+        if self._links.get(link.name) is link:
+            self._kernel.publish(LinkUp(instance=link.name))
+
     def _report(self, link: Link, loss: Loss, reason: str) -> None:
         self._publish_unsent(link, loss.unsent)
         if not loss.news or self._stopping:
--- a/packages/gooseberrymux/src/gooseberrymux/senders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/senders.py
@@ -8,7 +8,7 @@
 from gooseberrymux.codec import Envelope, encode_envelope
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.links import Close, Link, Redial, ReportDown, SendBatch
+from gooseberrymux.links import Close, Link, Redial, ReportDown, ReportUp, SendBatch
 from gooseberrymux.records import InstanceIdentity
 
 # The first message to an instance that has just started waits at most the longer one.
@@ -34,6 +34,7 @@
         "_link",
         "_drops",
         "_report_down",
+        "_report_up",
         "_report_unsent",
         "_count_sent",
     )
@@ -46,6 +47,7 @@
         link: Link,
         drops: DropRecorder,
         report_down: Callable[..., None],
+        report_up: Callable[[Link], None],
         report_unsent: Callable[[Link, list], None],
         count_sent: Callable[[int], None],
     ):
@@ -54,6 +56,7 @@
         self._link = link
         self._drops = drops
         self._report_down = report_down
+        self._report_up = report_up
         self._report_unsent = report_unsent
         self._count_sent = count_sent
 
@@ -81,6 +84,8 @@
                         self._send_batch(socket, messages, incarnation)
                     case ReportDown():
                         self._report_down(link, REASON_BROKE)
+                    case ReportUp():
+                        self._report_up(link)
                     case Redial():
                         journal.record_event("peers.redial", peer=link.name)
                         return True
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,7 +1,7 @@
 """State of one link, without sockets."""
 
 from gooseberrymux.clock import ManualClock
-from gooseberrymux.links import Link, ReportDown, SendBatch
+from gooseberrymux.links import Link, ReportDown, ReportUp, SendBatch
 from gooseberrymux.settings import Address
 
 
@@ -48,6 +48,28 @@
     assert put(link, "call") is None
 
 
+def test_link_that_stands_again_takes_calls_once_the_peer_is_heard():
+    # Guards against calls to a run that is gone: what listens at the address after a
+    # break may be the next run, which refuses them.
+    link = create_link()
+    link.mark_down()
+    link.take()
+    link.lose()
+    link.mark_up()
+    assert link.take() == ReportUp()
+    assert put(link, "call") is not None
+    assert put(link, "probe", despite_loss=True) is None
+    assert link.restart(2).news is False
+    assert put(link, "call for run 2") is None
+
+
+def test_first_connection_is_no_news():
+    link = create_link(up=False)
+    link.mark_up()
+    put(link, "call")
+    assert link.take() == SendBatch(messages=["call"], incarnation=1)
+
+
 def test_link_that_broke_refuses_probes_too():
     link = create_link()
     link.mark_down()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -6,6 +6,8 @@
 from gooseberrymux.membership import MemberChanged
 from gooseberrymux.messages import MemberUpdate, Probe, Subrequest
 from gooseberrymux.records import InstanceIdentity, InstanceRecord, MemberState, Rank
+from gooseberrymux.settings import Address
+from gooseberrystand.proxy import Proxy
 from support import Node, running, wait_for
 
 FAST = {"probe_period_ms": 50, "probe_timeout_ms": 100, "suspect_ms": 200}
@@ -95,6 +97,28 @@
         wait_for(lambda: len(nodes[0].live()) == 2, "the refutation")
 
 
+def test_member_whose_connection_was_reset_is_live_again_at_once():
+    # Guards against an instance that takes all others for suspects, and so itself for
+    # the owner of everything, until their turn in the next periods comes.
+    patient = {**FAST, "probe_period_ms": 60_000, "suspect_ms": 60_000}
+    first = Node("node-0", membership=patient)
+    seeds = [{"port": first.address.port}]
+    second = Node("node-1", membership={**patient, "seeds": seeds})
+    changes = []
+    with running(first, second):
+        wait_for(lambda: len(first.live()) == len(second.live()) == 2, "both")
+        proxy = Proxy(target_port=second.address.port)
+        first.peers.connect(name="node-1", address=Address(port=proxy.port))
+        first.membership.watch_closely("node-1")
+        wait_for(lambda: first.peers.get_incarnation("node-1"), "the new link")
+        first.kernel.subscribe(MemberChanged, changes.append)
+        proxy.reset()
+        wait_for(lambda: len(changes) >= 2, "the suspicion and its end")
+        assert [event.state for event in changes] == ["suspect", "alive"]
+        assert first.live() == ["node-0", "node-1"]
+        proxy.close()
+
+
 def test_member_that_only_the_list_names_owns_nothing():
     # Guards against work queued at an instance that the lagging list still names.
     node, absent = Node("node-0", membership=FAST), Node("node-1")
