Serve each peer by one thread; wake a planned stop once a batch is really sent

Of 166 threads a process 130 served peers, two each. One thread now sends and hands out, in turns, so that a flood from a peer does not hold up what is sent to it. The mailbox class and the sender module are replaced by the link's second queue and the module sessions.

Found while reading: the wake-up of a drain came before the link counted as idle, so a planned stop could wait for its deadline; now the batch is marked as sent first.

Tests: test_links.py (turns, closing, limits, idle; the last failed before).

--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -1,4 +1,4 @@
-"""State of the link with one peer: its queues, its losses, what its sender does next.
+"""State of the link with one peer: its queues, its losses, what its task does next.
 
 The classes here open no sockets; `peers` connects them to pynng.
 """
@@ -8,6 +8,7 @@
 import threading
 
 from gooseberrymux.clock import Clock
+from gooseberrymux.codec import Envelope
 from gooseberrymux.settings import Address
 
 OUTBOUND_LIMIT = 4_096
@@ -27,6 +28,13 @@
     incarnation: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deliver:
+    """Hand out what has arrived."""
+
+    envelopes: list[Envelope]
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReportDown:
     """The connection broke: publish what was lost."""
@@ -44,10 +52,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Close:
-    """Nothing is left to send and the link is closed."""
+    """The link is closed, and nothing is left to send or to hand out."""
 
 
-Step = SendBatch | ReportDown | ReportUp | Redial | Close
+Step = SendBatch | Deliver | ReportDown | ReportUp | Redial | Close
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,44 +73,8 @@
     news: bool
 
 
-class Mailbox:
-    """Bounded queue of one thread; `take_all` blocks until something is there."""
-
-    __slots__ = ("_items", "_changed", "_limit", "_closed", "_clock")
-
-    def __init__(self, *, limit: int, clock: Clock):
-        self._items: collections.deque = collections.deque()
-        self._changed = threading.Condition()
-        self._limit = limit
-        self._closed = False
-        self._clock = clock
-
-    def put(self, item: object) -> bool:
-        """Adds an item; returns False if the box is full or closed."""
-        with self._changed:
-            if self._closed or len(self._items) >= self._limit:
-                return False
-            self._items.append(item)
-            self._changed.notify()
-            return True
-
-    def take_all(self, limit: int) -> list:
-        """Returns up to `limit` items; an empty list means that the box is closed."""
-        with self._changed:
-            while not self._items and not self._closed:
-                self._clock.wait(self._changed, None)
-            count = min(limit, len(self._items))
-            return [self._items.popleft() for _ in range(count)]
-
-    def close(self) -> None:
-        """Lets the thread that takes finish what is left and end."""
-        with self._changed:
-            self._closed = True
-            self._changed.notify_all()
-
-
 class Link:
-    """One peer: outbound queue, run of the peer, whether it is up or lost.
+    """One peer: queues in both directions, run of the peer, whether it is up or lost.
 
     A link is *lost* from the moment a loss is reported until the peer is heard again:
     after a break, what listens at its address may be its next run. A lost link refuses
@@ -113,12 +85,13 @@
     __slots__ = (
         "name",
         "address",
-        "inbound",
         "last_heard_ms",
         "is_started",
         "_clock",
         "_changed",
         "_items",
+        "_arrived",
+        "_delivered",
         "_incarnation",
         "_up",
         "_down",
@@ -135,12 +108,14 @@
     def __init__(self, *, name: str, address: Address, clock: Clock):
         self.name = name
         self.address = address
-        self.inbound = Mailbox(limit=INBOUND_LIMIT, clock=clock)
         self.last_heard_ms = clock.now_ms()
         self.is_started = False
         self._clock = clock
         self._changed = threading.Condition()
         self._items: collections.deque = collections.deque()
+        self._arrived: collections.deque[Envelope] = collections.deque()
+        # Whether the latest step was to hand out; sending has its turn then.
+        self._delivered = False
         self._incarnation = 0
         self._up = False
         self._down = False
@@ -199,11 +174,19 @@
             self._changed.notify_all()
             return None
 
+    def receive(self, envelope: Envelope) -> bool:
+        """Queues what has arrived; returns False if the queue is full or closed."""
+        with self._changed:
+            if self._closed or len(self._arrived) >= INBOUND_LIMIT:
+                return False
+            self._arrived.append(envelope)
+            self._changed.notify_all()
+            return True
+
     def take(self) -> Step:
-        """Returns the sender's next step; blocks until there is one."""
+        """Returns the next step of the link's task; blocks until there is one."""
         with self._changed:
             while True:
-                self._sending = False
                 if self._down:
                     self._down = False
                     return ReportDown()
@@ -214,17 +197,25 @@
                 if self._regained:
                     self._regained = False
                     return ReportUp()
-                if self._closed and not (self._items and self._up):
-                    return Close()
-                if self._items and self._up:
+                can_send = self._items and self._up
+                if self._arrived and not (can_send and self._delivered):
+                    self._delivered = True
+                    return Deliver(envelopes=take_batch(self._arrived))
+                self._delivered = False
+                if can_send:
                     self._sending = True
-                    count = min(BATCH_LIMIT, len(self._items))
                     return SendBatch(
-                        messages=[self._items.popleft() for _ in range(count)],
-                        incarnation=self._incarnation,
+                        messages=take_batch(self._items), incarnation=self._incarnation
                     )
+                if self._closed:
+                    return Close()
                 self._clock.wait(self._changed, None)
 
+    def mark_sent(self) -> None:
+        """Notes that the batch of the latest step was sent or reported."""
+        with self._changed:
+            self._sending = False
+
     def begin_connection(self) -> int:
         """Returns the number of a new connection; what older ones report is ignored."""
         with self._changed:
@@ -305,11 +296,10 @@
             return loss
 
     def close(self) -> None:
-        """Ends both threads after what is left to send and to hand out."""
+        """Ends the task after what is left to send and to hand out."""
         with self._changed:
             self._closed = True
             self._changed.notify_all()
-        self.inbound.close()
 
     def _lose(self) -> Loss:
         loss = Loss(
@@ -322,3 +312,8 @@
         self._lost = True
         self._exposed = False
         return loss
+
+
+def take_batch(queue: collections.deque) -> list:
+    """Returns the first items of a queue, at most `BATCH_LIMIT`, and removes them."""
+    return [queue.popleft() for _ in range(min(BATCH_LIMIT, len(queue)))]
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -1,4 +1,4 @@
-"""Links between instances: one pynng listener, a sender and a receiver thread a peer.
+"""Links between instances: one pynng listener and one thread a peer.
 
 Envelopes name the incarnation that they are meant for, because pynng reconnects
 silently and a restarted peer would otherwise look the same.
@@ -23,7 +23,7 @@
     PartsMerged,
 )
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.links import BATCH_LIMIT, Link, Loss
+from gooseberrymux.links import Link, Loss
 from gooseberrymux.messages import (
     ANSWER_TYPES,
     AWAITED_TYPES,
@@ -35,7 +35,7 @@
     ProbeRequest,
 )
 from gooseberrymux.records import InstanceIdentity
-from gooseberrymux.senders import Sender
+from gooseberrymux.sessions import Session
 from gooseberrymux.settings import Address
 
 # Frames over the limit are refused and counted; beyond this size the transport closes
@@ -128,7 +128,7 @@
         self.register(IncarnationMismatch, self._handle_mismatch)
 
     def register(self, message_type: type, handler: Handler) -> None:
-        """Sets the handler of a message type; it runs in the peer's receiver thread."""
+        """Sets the handler of a message type; it runs in the peer's thread."""
         self._handlers[message_type] = handler
 
     def start(self) -> None:
@@ -175,20 +175,18 @@
             if link.is_started:
                 return
             link.is_started = True
-        sender = Sender(
+        session = Session(
             kernel=self._kernel,
             get_identity=lambda: self.identity,
             link=link,
             drops=self._drops,
+            deliver=self._dispatch_envelope,
             report_down=self._report_down,
             report_up=self._report_up,
             report_unsent=self._publish_unsent,
             count_sent=self._count_sent,
         )
-        self._kernel.spawn(name=f"peers.send.{link.name}", target=sender.run)
-        self._kernel.spawn(
-            name=f"peers.receive.{link.name}", target=lambda: self._dispatch(link)
-        )
+        self._kernel.spawn(name=f"peers.{link.name}", target=session.run)
 
     def disconnect(self, name: str) -> None:
         """Closes the link with a peer that is gone."""
@@ -320,7 +318,7 @@
             link.mark_heard()
         if not link.is_started:
             self._start_link(link)
-        if not link.inbound.put(envelope):
+        if not link.receive(envelope):
             self._drop("inbound_full", envelope.sender)
 
     def _introduce(self, envelope: Envelope) -> Link | None:
@@ -339,11 +337,6 @@
                 return self._links.get(update.instance)
         return None
 
-    def _dispatch(self, link: Link) -> None:
-        while envelopes := link.inbound.take_all(BATCH_LIMIT):
-            for envelope in envelopes:
-                self._dispatch_envelope(link, envelope)
-
     def _dispatch_envelope(self, link: Link, envelope: Envelope) -> None:
         if envelope.sender_incarnation < link.incarnation:
             self._drop("earlier_incarnation", link.name)
--- a/packages/gooseberrymux/src/gooseberrymux/senders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/sessions.py
@@ -1,4 +1,8 @@
-"""Sender of one peer: takes the link's steps and carries them out on a pynng socket."""
+"""Session with one peer: takes the link's steps and carries them out.
+
+One thread sends on a pynng socket and hands out what the listener has received, so that
+a fleet of n instances costs each of them n threads and not 2 n.
+"""
 
 from collections.abc import Callable
 
@@ -8,7 +12,15 @@
 from gooseberrymux.codec import Envelope, encode_envelope
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.links import Close, Link, Redial, ReportDown, ReportUp, SendBatch
+from gooseberrymux.links import (
+    Close,
+    Deliver,
+    Link,
+    Redial,
+    ReportDown,
+    ReportUp,
+    SendBatch,
+)
 from gooseberrymux.records import InstanceIdentity
 
 # The first message to an instance that has just started waits at most the longer one.
@@ -25,7 +37,7 @@
 REASON_BLOCKED = "send timed out"
 
 
-class Sender:
+class Session:
     """Owns the socket to one peer; `run` is the body of its thread."""
 
     __slots__ = (
@@ -33,6 +45,7 @@
         "_get_identity",
         "_link",
         "_drops",
+        "_deliver",
         "_report_down",
         "_report_up",
         "_report_unsent",
@@ -46,6 +59,7 @@
         get_identity: Callable[[], InstanceIdentity],
         link: Link,
         drops: DropRecorder,
+        deliver: Callable[[Link, Envelope], None],
         report_down: Callable[..., None],
         report_up: Callable[[Link], None],
         report_unsent: Callable[[Link, list], None],
@@ -55,18 +69,19 @@
         self._get_identity = get_identity
         self._link = link
         self._drops = drops
+        self._deliver = deliver
         self._report_down = report_down
         self._report_up = report_up
         self._report_unsent = report_unsent
         self._count_sent = count_sent
 
     def run(self) -> None:
-        """Sends until the link is closed, over one connection after the other."""
-        while self._send_over_connection():
+        """Serves the link until it is closed, over one connection after the other."""
+        while self._serve_connection():
             pass
 
-    def _send_over_connection(self) -> bool:
-        """Sends until the link closes; returns whether to open another connection."""
+    def _serve_connection(self) -> bool:
+        """Serves until the link closes; returns whether to open another connection."""
         link = self._link
         number = link.begin_connection()
         with pynng.Push0(
@@ -82,6 +97,12 @@
                 match link.take():
                     case SendBatch(messages=messages, incarnation=incarnation):
                         self._send_batch(socket, messages, incarnation)
+                        link.mark_sent()
+                        if self._kernel.is_draining:
+                            self._kernel.wake()
+                    case Deliver(envelopes=envelopes):
+                        for envelope in envelopes:
+                            self._deliver(link, envelope)
                     case ReportDown():
                         self._report_down(link, REASON_BROKE)
                     case ReportUp():
@@ -105,8 +126,6 @@
                 self._report_down(self._link, failed, silent=silent, unsent=unsent)
                 break
             self._count_sent(len(frame))
-        if self._kernel.is_draining:
-            self._kernel.wake()
 
     def _pack(self, messages: list, incarnation: int) -> list[tuple[bytes, list]]:
         """Returns frames within the limit, each with its messages, in order."""
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,7 +1,15 @@
 """State of one link, without sockets."""
 
 from gooseberrymux.clock import ManualClock
-from gooseberrymux.links import Link, ReportDown, ReportUp, SendBatch
+from gooseberrymux.links import (
+    BATCH_LIMIT,
+    Close,
+    Deliver,
+    Link,
+    ReportDown,
+    ReportUp,
+    SendBatch,
+)
 from gooseberrymux.settings import Address
 
 
@@ -103,3 +111,46 @@
     assert link.awaited == 1
     link.lose()
     assert link.awaited == 0
+
+
+def test_link_is_idle_as_soon_as_its_batch_is_sent():
+    # Guards against a planned stop that waits for its deadline: it looks again when a
+    # batch was sent, and not when the link's task asks for its next step.
+    link = create_link()
+    put(link, "outcome")
+    assert not link.is_idle
+    link.take()
+    assert not link.is_idle
+    link.mark_sent()
+    assert link.is_idle
+
+
+def test_what_arrives_and_what_is_queued_take_turns():
+    # Guards against a peer whose flood of messages holds up what is sent to it.
+    link = create_link()
+    for number in range(BATCH_LIMIT * 2):
+        link.receive(f"in {number}")
+        put(link, f"out {number}")
+    kinds = []
+    for _ in range(4):
+        kinds.append(type(link.take()))
+        link.mark_sent()
+    assert kinds == [Deliver, SendBatch, Deliver, SendBatch]
+
+
+def test_closed_link_hands_out_and_sends_what_is_left():
+    link = create_link()
+    link.receive("arrived")
+    put(link, "queued")
+    link.close()
+    assert not link.receive("too late")
+    assert link.take() == Deliver(envelopes=["arrived"])
+    assert link.take() == SendBatch(messages=["queued"], incarnation=1)
+    assert link.take() == Close()
+
+
+def test_full_link_takes_nothing_more(monkeypatch):
+    monkeypatch.setattr("gooseberrymux.links.INBOUND_LIMIT", 1)
+    link = create_link()
+    assert link.receive("first")
+    assert not link.receive("second")
