Tell others of a broken connection only once its peer misses a probe

Some saw 14 live members of 66 and took other instances for the owners. Now the instance that lost the connection leaves the peer out at once by itself (the link is lost), probes it, and accuses it only if the probe is missed. What may own something is announced by one event, LiveChanged, for member changes, lost links and heard peers alike; placement and calls listen to it.

Test: test_membership.py::test_member_whose_connection_was_reset_is_live_again_at_once now also demands that no member changes; failed before with a suspicion.

--- a/packages/gooseberrymux/src/gooseberrymux/calls.py
+++ b/packages/gooseberrymux/src/gooseberrymux/calls.py
@@ -11,7 +11,7 @@
 from gooseberrymux.evidence import NoEvidence, Observation, Overtaken
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.lanes import REASON_CANCELLED
-from gooseberrymux.membership import MemberChanged, Membership
+from gooseberrymux.membership import LiveChanged, Membership
 from gooseberrymux.messages import (
     CancelSubrequest,
     Subrequest,
@@ -141,7 +141,7 @@
             self._peers.register(outcome_type, self._handle_outcome)
         kernel.subscribe(PeerLost, self._handle_lost)
         kernel.subscribe(MessagesNotSent, self._handle_not_sent)
-        kernel.subscribe(MemberChanged, self._handle_member)
+        kernel.subscribe(LiveChanged, self._handle_live)
 
     def start(self) -> None:
         """Nothing to start."""
@@ -370,7 +370,7 @@
         else:
             self._routing.end(subrequest.upstream, NoEvidence())
 
-    def _handle_member(self, event: MemberChanged) -> None:
+    def _handle_live(self, event: LiveChanged) -> None:
         with self._lock:
             self._view += 1
             self._owners.clear()
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -249,14 +249,15 @@
         """Returns whether the connection broke since the last step."""
         return self._down
 
-    def mark_heard(self) -> None:
-        """Notes that a frame of the peer arrived."""
+    def mark_heard(self) -> bool:
+        """Notes that a frame of the peer arrived; returns whether it ends a loss."""
         self.last_heard_ms = self._clock.now_ms()
         if not self._lost:
-            return
+            return False
         with self._changed:
-            if self._up:
-                self._lost = False
+            ended = self._lost and self._up
+            self._lost = self._lost and not ended
+            return ended
 
     def mark_answered(self, count: int = 1) -> None:
         """Notes that awaited answers arrived."""
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -13,7 +13,7 @@
 from gooseberrymux.kernel import Kernel, LeaveStarted, SettingsChanged, service
 from gooseberrymux.members import MemberTable
 from gooseberrymux.messages import MemberUpdate, Probe, ProbeReply, ProbeRequest
-from gooseberrymux.peers import IncarnationRaised, LinkDown, LinkUp, Peers
+from gooseberrymux.peers import IncarnationRaised, LinkDown, LinkUp, PeerHeard, Peers
 from gooseberrymux.probes import (
     Answered,
     AskOthers,
@@ -48,6 +48,11 @@
     state: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LiveChanged:
+    """What `Membership.list_live` returns may have changed."""
+
+
 @service("membership", requires=("peers",))
 class Membership:
     """Probes members and keeps the member table."""
@@ -97,6 +102,7 @@
         self._peers.register(ProbeRequest, self._handle_request)
         kernel.subscribe(LinkDown, self._handle_down)
         kernel.subscribe(LinkUp, self._handle_up)
+        kernel.subscribe(PeerHeard, self._handle_heard)
         kernel.subscribe(LeaveStarted, self._handle_leave)
         kernel.subscribe(SettingsChanged, self._handle_settings)
         kernel.subscribe(IncarnationRaised, self._handle_raised)
@@ -317,6 +323,7 @@
         self._kernel.publish(
             MemberChanged(instance=update.instance, state=update.state)
         )
+        self._kernel.publish(LiveChanged())
         if update.state is MemberState.DEAD:
             self._peers.lose(
                 name=update.instance,
@@ -404,11 +411,13 @@
     def _handle_down(self, event: LinkDown) -> None:
         if self._stopping:
             return
-        # A broken connection is taken as silence at once. If only the connection
-        # broke, the member refutes that with its next message.
-        self._accuse(event.instance, reason="connection broke")
+        # This instance does without the member at once. Others are told only if it
+        # does not answer: where many connections break, a suspicion and a refutation
+        # for each would go through the whole fleet.
+        self._kernel.publish(LiveChanged())
         with self._lock:
             self._probe(event.instance, indirect=True)
+        self._wake()
 
     def _handle_up(self, event: LinkUp) -> None:
         # Its answer makes it usable again; the next period may be far off, and a probe
@@ -416,6 +425,9 @@
         with self._lock:
             self._send(event.instance, Probe, sequence=self._probes.create_sequence())
 
+    def _handle_heard(self, event: PeerHeard) -> None:
+        self._kernel.publish(LiveChanged())
+
     def _handle_leave(self, event: LeaveStarted) -> None:
         with self._lock:
             self._table.leave()
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -65,6 +65,13 @@
     instance: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerHeard:
+    """A lost peer was heard; it takes messages again."""
+
+    instance: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MessagesNotSent:
     """These queued messages were dropped and certainly not sent."""
@@ -315,7 +322,8 @@
             self._drop("unknown_sender", envelope.sender)
             return
         if envelope.sender_incarnation >= link.incarnation:
-            link.mark_heard()
+            if link.mark_heard():
+                self._kernel.publish(PeerHeard(instance=link.name))
         if not link.is_started:
             self._start_link(link)
         if not link.receive(envelope):
@@ -341,9 +349,12 @@
         if envelope.sender_incarnation < link.incarnation:
             self._drop("earlier_incarnation", link.name)
             return
+        was_lost = link.is_lost
         loss = link.restart(envelope.sender_incarnation)
         if loss:
             self._report(link, loss, "restarted")
+        if was_lost and not link.is_lost:
+            self._kernel.publish(PeerHeard(instance=link.name))
         if envelope.target_incarnation > self.identity.incarnation:
             self._rise_above(envelope.target_incarnation)
         if envelope.target_incarnation not in (0, self.identity.incarnation):
@@ -418,10 +429,10 @@
         silent: bool = False,
         unsent: Sequence[object] = (),
     ) -> None:
+        loss = link.lose(silent=silent)
         # Membership takes the peer off the list of owners first, so that the calls
         # that fail next are not sent to it again.
         self._kernel.publish(LinkDown(instance=link.name, incarnation=link.incarnation))
-        loss = link.lose(silent=silent)
         whole = dataclasses.replace(loss, unsent=[*unsent, *loss.unsent])
         self._report(link, whole, reason)
 
--- a/packages/gooseberrymux/src/gooseberrymux/placement.py
+++ b/packages/gooseberrymux/src/gooseberrymux/placement.py
@@ -5,9 +5,9 @@
 from gooseberrymux import journal
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.membership import MemberChanged, Membership
+from gooseberrymux.membership import LiveChanged, Membership
 from gooseberrymux.ownership import rank_service_owners, select_strongest
-from gooseberrymux.peers import LinkDown, Peers
+from gooseberrymux.peers import Peers
 from gooseberrymux.records import InstanceRecord, UpstreamRecord
 
 
@@ -49,8 +49,7 @@
         self._owners: dict[str, Owner] = {}
         self._view = 0
         self._lock = threading.Lock()
-        kernel.subscribe(MemberChanged, self._handle_change)
-        kernel.subscribe(LinkDown, self._handle_change)
+        kernel.subscribe(LiveChanged, self._handle_change)
 
     def start(self) -> None:
         """Nothing to start."""
@@ -107,7 +106,7 @@
             )
         return found
 
-    def _handle_change(self, event: object) -> None:
+    def _handle_change(self, event: LiveChanged) -> None:
         with self._lock:
             self._view += 1
             self._owners = {}
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gooseberrymux.calls import Calls, Inbox, UnexpectedOutcome
-from gooseberrymux.membership import MemberChanged, Membership
+from gooseberrymux.membership import LiveChanged, Membership
 from gooseberrymux.messages import (
     CancelSubrequest,
     Subrequest,
@@ -172,12 +172,12 @@
     # Guards against an owner kept after the members changed.
     membership = caller.kernel.find("membership", Membership)
     membership.names = tuple(f"m{n}" for n in range(6))
-    caller.kernel.publish(MemberChanged(instance="m0", state="alive"))
+    caller.kernel.publish(LiveChanged())
     caller.send()
     owner = find_owner(upstream=RECORD, members=membership.list_live()).name
     assert caller.peers.sent[-1][0] == owner
     membership.names = tuple(n for n in membership.names if n != owner)
-    caller.kernel.publish(MemberChanged(instance=owner, state="dead"))
+    caller.kernel.publish(LiveChanged())
     caller.send()
     assert caller.peers.sent[-1][0] not in (owner, "entry")
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,7 +3,7 @@
 import pynng
 
 from gooseberrymux.codec import Envelope, encode_envelope
-from gooseberrymux.membership import MemberChanged
+from gooseberrymux.membership import LiveChanged, MemberChanged
 from gooseberrymux.messages import MemberUpdate, Probe, Subrequest
 from gooseberrymux.records import InstanceIdentity, InstanceRecord, MemberState, Rank
 from gooseberrymux.settings import Address
@@ -99,23 +99,25 @@
 
 def test_member_whose_connection_was_reset_is_live_again_at_once():
     # Guards against an instance that takes all others for suspects, and so itself for
-    # the owner of everything, until their turn in the next periods comes.
+    # the owner of everything, until their turn in the next periods comes; and against
+    # a suspicion and a refutation told to the whole fleet for each broken connection.
     patient = {**FAST, "probe_period_ms": 60_000, "suspect_ms": 60_000}
     first = Node("node-0", membership=patient)
     seeds = [{"port": first.address.port}]
     second = Node("node-1", membership={**patient, "seeds": seeds})
-    changes = []
+    lives, changes = [], []
     with running(first, second):
         wait_for(lambda: len(first.live()) == len(second.live()) == 2, "both")
         proxy = Proxy(target_port=second.address.port)
         first.peers.connect(name="node-1", address=Address(port=proxy.port))
         first.membership.watch_closely("node-1")
         wait_for(lambda: first.peers.get_incarnation("node-1"), "the new link")
+        first.kernel.subscribe(LiveChanged, lambda event: lives.append(first.live()))
         first.kernel.subscribe(MemberChanged, changes.append)
         proxy.reset()
-        wait_for(lambda: len(changes) >= 2, "the suspicion and its end")
-        assert [event.state for event in changes] == ["suspect", "alive"]
-        assert first.live() == ["node-0", "node-1"]
+        wait_for(lambda: len(lives) >= 2, "the loss and its end")
+        assert lives == [["node-0"], ["node-0", "node-1"]]
+        assert not changes
         proxy.close()
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from gooseberrymux.membership import MemberChanged
+from gooseberrymux.membership import LiveChanged
 from gooseberrymux.ownership import OWNERS_NEEDED, select_strongest, weigh_member
 from gooseberrymux.placement import Placement
 from gooseberrymux.records import InstanceRecord
@@ -68,6 +68,6 @@
     assert {name: placement.find_owner(name) for name in owners} == owners
     assert members.asked == 1
     members.members = [m for m in members.members if m.name != owners["s0"]]
-    world.kernel.publish(MemberChanged(instance=owners["s0"], state="dead"))
+    world.kernel.publish(LiveChanged())
     assert placement.find_owner("s0") != owners["s0"]
     assert sum(placement.describe().values()) == 1
