Dial a peer anew when no connection is made within a second

Also, a peer whose next run had been heard took messages although there was no connection to it yet. Ruled out: the proxies of the soak (new connections through them worked), membership.

Tests that failed before: test_links.py::test_connection_that_is_not_made_in_time_is_dialled_ anew, ::test_next_run_gets_no_message_before_there_is_a_connection_to_it, test_peers.py:: test_connections_reset_while_they_are_set_up_are_made_again. test_peers.py::test_restarted_ peer_gets_no_message_for_its_earlier_run waits for the connection before the first message.

--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -14,6 +14,9 @@
 OUTBOUND_LIMIT = 4_096
 INBOUND_LIMIT = 8_192
 BATCH_LIMIT = 128
+# pynng dials again by itself, but not after a connection that was reset while it was
+# set up, and an attempt towards a machine without power waits for many seconds.
+REDIAL_MS = 1_000.0
 
 REFUSED_CLOSED = "link is closed"
 REFUSED_LOST = "peer is lost"
@@ -47,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Redial:
-    """The peer is silent although the connection stands: open another one."""
+    """Open another connection: this one is silent, or none was made for a while."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,6 +101,7 @@
         "_regained",
         "_redial",
         "_connection",
+        "_waits_since_ms",
         "_lost",
         "_exposed",
         "_sending",
@@ -122,6 +126,7 @@
         self._regained = False
         self._redial = False
         self._connection = 0
+        self._waits_since_ms = clock.now_ms()
         self._lost = False
         self._exposed = False
         self._sending = False
@@ -209,7 +214,10 @@
                     )
                 if self._closed:
                     return Close()
-                self._clock.wait(self._changed, None)
+                left_ms = self._find_redial_ms()
+                if left_ms is not None and left_ms <= 0:
+                    return Redial()
+                self._clock.wait(self._changed, left_ms)
 
     def mark_sent(self) -> None:
         """Notes that the batch of the latest step was sent or reported."""
@@ -220,6 +228,7 @@
         """Returns the number of a new connection; what older ones report is ignored."""
         with self._changed:
             self._connection += 1
+            self._waits_since_ms = self._clock.now_ms()
             return self._connection
 
     def mark_up(self, connection: int = 0) -> None:
@@ -243,6 +252,7 @@
             self._up = False
             self._regained = False
             self._down = True
+            self._waits_since_ms = self._clock.now_ms()
             self._changed.notify_all()
 
     def has_broken(self) -> bool:
@@ -292,7 +302,9 @@
             # Before the first contact messages are meant for whichever run answers.
             loss = self._lose() if self._incarnation else None
             self._incarnation = incarnation
-            self._lost = False
+            if loss:
+                # Nothing reaches the next run before there is a connection to it.
+                self._lost = not self._up
             self._exposed = True
             return loss
 
@@ -302,6 +314,12 @@
             self._closed = True
             self._changed.notify_all()
 
+    def _find_redial_ms(self) -> float | None:
+        """Returns how long the connection may still take; None if it stands."""
+        if self._up:
+            return None
+        return self._waits_since_ms + REDIAL_MS - self._clock.now_ms()
+
     def _lose(self) -> Loss:
         loss = Loss(
             incarnation=self._incarnation,
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,11 +1,15 @@
 """State of one link, without sockets."""
 
+import pytest
+
 from gooseberrymux.clock import ManualClock
 from gooseberrymux.links import (
     BATCH_LIMIT,
+    REDIAL_MS,
     Close,
     Deliver,
     Link,
+    Redial,
     ReportDown,
     ReportUp,
     SendBatch,
@@ -78,6 +82,51 @@
     assert link.take() == SendBatch(messages=["call"], incarnation=1)
 
 
+class WaitsError(Exception):
+    """A step is not due yet."""
+
+
+class ImpatientClock(ManualClock):
+    def wait(self, condition, timeout_ms):
+        raise WaitsError(timeout_ms)
+
+
+def test_connection_that_is_not_made_in_time_is_dialled_anew():
+    # Guards against a peer that stays unreachable for good: pynng gives up on a
+    # connection that was reset while it was set up.
+    clock = ImpatientClock()
+    link = Link(name="peer", address=Address(port=1), clock=clock)
+    link.begin_connection()
+    with pytest.raises(WaitsError):
+        link.take()
+    clock.advance(REDIAL_MS)
+    assert link.take() == Redial()
+
+
+def test_connection_that_breaks_has_time_to_be_made_again():
+    # Guards against a fresh connection that is closed by an immediate redial.
+    clock = ImpatientClock()
+    link = Link(name="peer", address=Address(port=1), clock=clock)
+    number = link.begin_connection()
+    link.mark_up(number)
+    clock.advance(REDIAL_MS * 100)
+    link.mark_down(number)
+    assert link.take() == ReportDown()
+    link.lose()
+    with pytest.raises(WaitsError):
+        link.take()
+
+
+def test_next_run_gets_no_message_before_there_is_a_connection_to_it():
+    # Guards against calls that wait at a link whose peer is heard and not reached.
+    link = create_link()
+    link.mark_down()
+    link.take()
+    link.lose()
+    link.restart(2)
+    assert put(link, "call") is not None
+
+
 def test_link_that_broke_refuses_probes_too():
     link = create_link()
     link.mark_down()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 import pynng
 import pytest
 
+from gooseberrymux.clock import Clock
 from gooseberrymux.codec import (
     COMPRESSED,
     FRAME_LIMIT_BYTES,
@@ -80,6 +81,7 @@
         again.connect(one)
         again.peers.register(CancelSubrequest, again.record)
         with running(again):
+            wait_for(lambda: one.peers.describe()["up"] == 1, "the connection")
             again.peers.send("one", CancelSubrequest(id="new run"))
             wait_for(lambda: len(one.received) == 2, "a message of the new run")
             assert one.peers.get_incarnation("two") == again.peers.identity.incarnation
@@ -288,6 +290,23 @@
         proxy.close()
 
 
+def test_connections_reset_while_they_are_set_up_are_made_again(pair):
+    # Guards against a link that is never dialled again, whatever happened to it.
+    one, two = pair
+    with running(one, two):
+        proxy = Proxy(target_port=two.address.port)
+        one.peers.connect(name="two", address=Address(port=proxy.port))
+        for _ in range(4):
+            proxy.refuses = True
+            proxy.reset()
+            wait_for(lambda: not one.peers.describe()["up"], "the break")
+            Clock().sleep_ms(250)
+            proxy.refuses = False
+            one.peers.send("two", CancelSubrequest(id="again"))
+            wait_for(lambda: one.peers.describe()["up"] == 1, "the next connection")
+        proxy.close()
+
+
 def test_run_that_starts_after_the_clock_was_set_back_is_heard(pair):
     # Guards against an instance that its peers take for an old run for good.
     one, two = pair
