A randomized fault soak of real instances on loopback

tests/soak plays a seeded series of faults against real instances: kills, stops, freezes, reloads, clocks that are off, a store that is cut off, down, forgetful or lossy of entries, links that are cut one way, reset, silenced and delayed, upstreams that crash, drain, change addresses, stall and spoil answers, changes of the configuration.

So that links can be disturbed from outside, instance.advertised_peers says where others reach an instance. The stand-in of the machines' store moves to tests/machines, as it speaks the platform's names.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 PACKAGES := packages/gooseberrymux packages/gooseberryctl packages/gooseberrystand
 
-.PHONY: install test lint demo bench slopes
+.PHONY: install test lint demo bench slopes soak
 
 $(VENV)/.installed: requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -28,3 +28,8 @@
 
 slopes: install
 	$(BIN)/python -m gooseberrystand.slopes
+
+SOAK ?= --seeds 5
+
+soak: install
+	PYTHONPATH=tests:platform $(BIN)/python -m soak $(SOAK)
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -90,6 +90,12 @@
     callers: AddressField
     administration: AddressField
     peers: AddressField
+    advertised_peers: AddressField | None = None
+
+    @property
+    def reached_at(self) -> Address:
+        """Where other instances connect: what is advertised, or the listener itself."""
+        return self.advertised_peers or self.peers
 
     @property
     def capacity(self) -> float:
--- a/tests/machines/test_deploy.py
+++ b/tests/machines/test_deploy.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 
 import pytest
-from template import render
 
 from gooseberrymux.kernel import find_factory
 from gooseberrymux.settings import parse_settings
+from machines.template import render
 
 ROOT = Path(__file__).parents[2]
 FIELDS = {
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real instances as processes, faults from outside them."""
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the soak's command line."""
+
+from soak.run import app
+
+app()
--- a/tests/support.py
+++ b/tests/support.py
@@ -35,6 +35,7 @@
         "administration": {"port": find_free_port()},
         "peers": {"port": port or find_free_port()},
     }
+    own |= sections.pop("instance", {})
     text = yaml.safe_dump({"instance": own, **sections})
     return parse_settings(text, source=name)
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,7 @@
 from gooseberrymux.records import InstanceIdentity, InstanceRecord, MemberState, Rank
 from gooseberrymux.settings import Address
 from gooseberrystand.proxy import Proxy
-from support import Node, running, wait_for
+from support import Node, find_free_port, running, wait_for
 
 FAST = {"probe_period_ms": 50, "probe_timeout_ms": 100, "suspect_ms": 200}
 
@@ -121,6 +121,23 @@
         proxy.close()
 
 
+def test_members_reach_each_other_at_the_advertised_address():
+    port = find_free_port()
+    proxy = Proxy(target_port=port)
+    first = Node("node-0", membership=FAST)
+    second = Node(
+        "node-1",
+        port=port,
+        instance={"advertised_peers": f"127.0.0.1:{proxy.port}"},
+        membership={**FAST, "seeds": [{"port": first.address.port}]},
+    )
+    with running(first, second):
+        wait_for(lambda: len(first.live()) == len(second.live()) == 2, "both")
+        (member,) = [m for m in first.membership.list_live() if m.name == "node-1"]
+        assert member.peer_port == proxy.port
+        proxy.close()
+
+
 def test_member_that_only_the_list_names_owns_nothing():
     # Guards against work queued at an instance that the lagging list still names.
     node, absent = Node("node-0", membership=FAST), Node("node-1")
