--- a/packages/gooseberrystand/src/gooseberrystand/proxy.py
+++ b/packages/gooseberrystand/src/gooseberrystand/proxy.py
@@ -99,10 +99,12 @@
             if target is None:
                 Pair(caller=caller, target=caller).reset()
                 continue
+            for sock in (caller, target):
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            # Listed last: a reset by another thread closes the sockets of the list.
             pair = Pair(caller=caller, target=target)
             self._pairs.append(pair)
             for source, sink in ((caller, target), (target, caller)):
-                source.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 threading.Thread(
                     target=self._pump, args=(pair, source, sink), daemon=True
                 ).start()
--- a/tests/machines/test_store_platform.py
+++ b/tests/machines/test_store_platform.py
@@ -9,14 +9,32 @@
 from gooseberrymux.kernel import Kernel
 from gooseberryplatform.platform import StorePlatform
 from harness import create_settings
-from machines.machine_store import MachineStore
+from machines.machine_store import PAGE_ITEMS, MachineStore
 
 ROUTES, SERVERS = "routes/", "instances"
 
 
+class ChangingStore(MachineStore):
+    """Carries out changes between the pages of the next list."""
+
+    __slots__ = ("changes",)
+
+    def __init__(self):
+        self.changes = []
+        super().__init__()
+
+    def handle(self, call):
+        reply = super().handle(call)
+        if "watch" not in call.fields and call.method == "GET":
+            changes, self.changes = self.changes, []
+            for change in changes:
+                change()
+        return reply
+
+
 class World:
     def __init__(self, timeout_ms=5_000):
-        self.store = MachineStore()
+        self.store = ChangingStore()
         settings = create_settings(
             platform={
                 "url": f"http://127.0.0.1:{self.store.port}",
@@ -103,6 +121,28 @@
     assert len(world.store.calls) == 3
 
 
+@pytest.mark.parametrize("other_kind", [False, True])
+def test_changes_between_the_pages_of_a_list_are_in_it(world, other_kind):
+    # Guards against two contents of one revision, of which the wrong one may prevail,
+    # and against a change that no watch brings because it was before its position.
+    for number in range(PAGE_ITEMS + 5):
+        world.write_server(f"i-{number:03d}")
+    world.store.changes = [
+        lambda: world.store.remove("servers", "i-001"),
+        lambda: world.write_server("i-000", state="draining"),
+        lambda: world.write_server("i-001a"),
+        world.write_configuration,
+    ][3 if other_kind else 0 :]
+    first = world.read(SERVERS).unwrap()
+    second = world.read(SERVERS).unwrap()
+    assert first == second
+    (found,) = first.objects
+    records = {record["name"]: record for record in found.value["upstreams"]}
+    assert ("i-001" in records) is other_kind
+    assert ("i-001a" in records) is not other_kind
+    assert records["i-000"]["state"] == ("live" if other_kind else "leaving")
+
+
 def test_an_entry_that_can_not_be_read_names_no_server_and_hides_no_other(world):
     world.write_server("i-1")
     world.store.write("servers", "i-2", "bytes")
