--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,8 @@
 DURATION_S = 30.0
 INSTANCES = 5
 CALLERS = 30
+SHARDS = 4
+REPLICAS = 3
 PROBLEMS_SHOWN = 20
 
 app = typer.Typer(help="Randomized fault soak of real instances on loopback.")
@@ -54,10 +56,19 @@
     duration_s: float = DURATION_S,
     instances: int = INSTANCES,
     callers: int = CALLERS,
+    shards: int = SHARDS,
+    replicas: int = REPLICAS,
 ) -> Verdict:
     """Plays one run and checks it."""
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    world = World(seed=seed, folder=folder, instances=instances, callers=callers)
+    world = World(
+        seed=seed,
+        folder=folder,
+        instances=instances,
+        callers=callers,
+        shards=shards,
+        replicas=replicas,
+    )
     try:
         world.start()
         world.start_callers()
@@ -86,18 +97,26 @@
 
 @app.command()
 def main(
+    *,
     first: Annotated[int, typer.Option(help="First seed; 0 for one by the time.")] = 0,
     seeds: Annotated[int, typer.Option(help="How many seeds.")] = 1,
     seconds: Annotated[float, typer.Option(help="Length of a run.")] = DURATION_S,
     instances: Annotated[int, typer.Option(help="Instances.")] = INSTANCES,
     callers: Annotated[int, typer.Option(help="Callers.")] = CALLERS,
+    shards: Annotated[int, typer.Option(help="Shards of a query.")] = SHARDS,
+    replicas: Annotated[int, typer.Option(help="Upstreams a service.")] = REPLICAS,
 ) -> None:
     """Plays seeds one after the other; keeps the logs of those that fail."""
     first = first or int(time.time())
     failed = 0
     for seed in range(first, first + seeds):
         verdict = play(
-            seed=seed, duration_s=seconds, instances=instances, callers=callers
+            seed=seed,
+            duration_s=seconds,
+            instances=instances,
+            callers=callers,
+            shards=shards,
+            replicas=replicas,
         )
         typer.echo(verdict.describe())
         if verdict.problems:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,8 +13,6 @@
 from soak.record import Drained, Record, Version
 from soak.upstreams import Upstream, now_ms
 
-SHARDS = 4
-REPLICAS = 3
 SINGLES = ("alpha", "beta", "gamma")
 # What the operator's page says of each kind of path.
 SEARCH, LOOKUP, FETCH, SUBMIT = "/search/", "/lookup/", "/fetch/", "/submit/"
@@ -32,7 +30,16 @@
 class World:
     """Everything but the faults; see `faults` for those."""
 
-    def __init__(self, *, seed: int, folder: Path, instances: int, callers: int):
+    def __init__(
+        self,
+        *,
+        seed: int,
+        folder: Path,
+        instances: int,
+        callers: int,
+        shards: int,
+        replicas: int,
+    ):
         self.random = random.Random(seed)
         self.record = Record()
         self.store = MachineStore()
@@ -42,7 +49,8 @@
         ]
         self.upstreams: dict[str, Upstream] = {}
         self.leaving: set[str] = set()
-        self.shards = [name_shard(0, n) for n in range(SHARDS)]
+        self.shards = [name_shard(0, n) for n in range(shards)]
+        self.replicas = replicas
         self.single = SINGLES[0]
         self.timeout_ms = DEADLINE_MS
         self._ids = itertools.count(1)
@@ -67,7 +75,7 @@
     def start(self) -> None:
         """Starts upstreams and instances and waits until all are ready."""
         for service in (*self.shards, *SINGLES):
-            for _ in range(REPLICAS):
+            for _ in range(self.replicas):
                 self.add_upstream(service)
         self.write_configuration()
         seeds = [entry.address for entry in self.entries[:3]]
@@ -206,9 +214,10 @@
     def start_shards(self) -> list[str]:
         """Starts the upstreams of the next set of shards; returns their services."""
         cut = next(self._cuts)
-        shards = [name_shard(cut, n) for n in range(self.random.randint(3, SHARDS + 2))]
+        count = max(3, len(self.shards) + self.random.randint(-1, 2))
+        shards = [name_shard(cut, n) for n in range(count)]
         for service in shards:
-            for _ in range(REPLICAS):
+            for _ in range(self.replicas):
                 self.add_upstream(service)
         return shards
 
