Parse replies of upstreams strictly and with limits

Cause: the readers in exchange and forward_exchange leave chunked bodies to http.client, which takes the end of the connection for an empty trailer, so a body cut off in its last chunk was a success. Interim replies and trailers had no limit, the first of two lengths was believed, and an unknown transfer coding was passed on as the body.

Change: reply_parser wraps httptools (llhttp in strict mode) and serves both readers. It limits heads, interim replies, chunk sizes, trailers and bodies, and completes a reply only at its own end.

A head that is cut off did not reach callers before either.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -7,8 +7,6 @@
 """
 
 import dataclasses
-import http.client
-import io
 import socket
 import threading
 from collections.abc import Callable
@@ -19,14 +17,13 @@
 from gooseberrymux.clock import MS_PER_S, Clock
 from gooseberrymux.exchange import (
     NODELAY_OPTIONS,
+    READ_SIZE_BYTES,
     REASON_CONNECT,
-    REPLY_LIMIT_BYTES,
     classify_error,
 )
 from gooseberrymux.forward_exchange import (
     REASON_ABORTED,
     Broken,
-    ForwardReply,
     NotSent,
     Result,
     classify_reply,
@@ -35,10 +32,15 @@
 )
 from gooseberrymux.forward_messages import ForwardCall
 from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.reply_parser import (
+    MalformedReplyError,
+    ParsedReply,
+    ReplyParser,
+    TruncatedReplyError,
+)
 from gooseberrymux.settings import HeaderNames
 
 CONNECT_TIMEOUT_MS = 400.0
-READ_BUFFER_BYTES = 16 * 1024
 # A request that must not run twice is sent only on a connection that was idle for less
 # than this: if the upstream closes an idle connection while the request is being sent,
 # the outcome of the request is unknown.
@@ -72,35 +74,6 @@
     aborted: bool = False
 
 
-class ReplyStream(io.BufferedReader):
-    """Buffered reader of a connection, kept open from one reply to the next."""
-
-    def makefile(self, mode: str) -> "ReplyStream":
-        """Returns this reader; `http.client` calls this as on a socket."""
-        return self
-
-    def close(self) -> None:
-        """Does nothing, as `http.client` closes the reader after each reply."""
-
-
-class SocketReader(io.RawIOBase):
-    """Raw reader of a socket, which can be paused to inspect only buffered bytes."""
-
-    __slots__ = ("_socket", "paused")
-
-    def __init__(self, *, sock: socket.socket):
-        self._socket = sock
-        self.paused = False
-
-    def readable(self) -> bool:
-        """Returns True, as `io.BufferedReader` requires."""
-        return True
-
-    def readinto(self, buffer) -> int:
-        """Blocks until bytes arrive; reads none and does not block while paused."""
-        return 0 if self.paused else self._socket.recv_into(buffer)
-
-
 ResultHandler = Callable[["Connection", Exchange, Result], None]
 
 
@@ -194,8 +167,7 @@
             if failure is not None:
                 self._finish_exchange(exchange, failure)
                 continue
-            stream = self._create_stream()
-            while stream is not None and self._read_reply(stream):
+            while self._read_reply():
                 pass
 
     def _wait_for_exchange(self) -> Exchange | None:
@@ -295,38 +267,33 @@
         sock.settimeout(None)
         return None
 
-    def _create_stream(self) -> ReplyStream | None:
+    def _read_reply(self) -> bool:
+        """Waits for and reads one reply; returns whether the socket can be reused."""
         sock = self._socket
         if sock is None:
-            return None
-        return ReplyStream(SocketReader(sock=sock), READ_BUFFER_BYTES)
-
-    def _read_reply(self, stream: ReplyStream) -> bool:
-        """Waits for and reads one reply; returns whether the socket can be reused."""
-        try:
-            has_bytes = bool(stream.peek(1))
-        except OSError:
-            has_bytes = False
+            return False
+        first = receive(sock)
         with self._condition:
             exchange = self._current
-        if exchange is None or (not has_bytes and not exchange.bytes_written):
-            if has_bytes:
+        if exchange is None or not (first or exchange.bytes_written):
+            if first:
                 # Bytes that arrive while no request is pending belong to none.
                 metrics.dropped_total.inc({"reason": "unasked_reply"})
             self._close_socket()
             return False
-        result, is_reusable = self._receive_reply(stream, exchange)
+        result, is_reusable = self._receive_reply(sock, first, exchange)
         if not is_reusable:
             self._close_socket()
         self._finish_exchange(exchange, result)
         return is_reusable
 
     def _receive_reply(
-        self, stream: ReplyStream, exchange: Exchange
+        self, sock: socket.socket, first: bytes, exchange: Exchange
     ) -> tuple[Result, bool]:
+        parser = ReplyParser(method=exchange.call.method)
         try:
-            response, body = read_response(stream, exchange.call.method)
-        except (OSError, http.client.HTTPException, ValueError) as error:
+            reply = read_reply(sock, first, parser)
+        except (OSError, MalformedReplyError, TruncatedReplyError) as error:
             reason = REASON_ABORTED if exchange.aborted else classify_error(error)
             return Broken(reason=reason), False
         except Exception as error:
@@ -340,16 +307,18 @@
             # when this side closes the socket.
             return Broken(reason=REASON_ABORTED), False
         self._last_used_ms = self._clock.now_ms()
-        self._idle_limit_ms = parse_idle_limit_ms(response.fields)
+        self._idle_limit_ms = parse_idle_limit_ms(reply.headers)
         result = classify_reply(
             exchange.call,
-            response,
-            body,
+            reply,
             names=self._names,
             elapsed_ms=self._last_used_ms - exchange.sent_ms,
         )
-        is_reusable = not (response.will_close or isinstance(result, Broken))
-        return result, is_reusable and not has_unread_bytes(stream)
+        if parser.has_excess:
+            # Bytes after a complete reply belong to no request.
+            metrics.dropped_total.inc({"reason": "bytes_after_reply"})
+        must_close = reply.closes_connection or parser.has_excess
+        return result, not (must_close or isinstance(result, Broken))
 
     def _finish_exchange(self, exchange: Exchange, result: Result) -> None:
         with self._condition:
@@ -373,34 +342,33 @@
             return
 
 
-def read_response(stream: ReplyStream, method: str) -> tuple[ForwardReply, bytes]:
-    """Returns the parsed head and the complete body of a reply.
+def receive(sock: socket.socket) -> bytes:
+    """Blocks for the next bytes; returns none once the connection has ended."""
+    try:
+        return sock.recv(READ_SIZE_BYTES)
+    except OSError:
+        return b""
+
+
+def read_reply(sock: socket.socket, first: bytes, parser: ReplyParser) -> ParsedReply:
+    """Reads one complete reply; blocks until it is complete or has failed.
+
+    Args:
+        sock: The connection.
+        first: Bytes that were received before; none if the connection has ended.
+        parser: A new parser.
 
     Raises:
-        OSError: The connection failed.
-        HTTPException: The reply is malformed or truncated.
-        ValueError: The reply is malformed or its body exceeds `REPLY_LIMIT_BYTES`.
+        OSError: The connection was reset.
+        MalformedReplyError: The bytes are not a valid reply, or exceed a limit.
+        TruncatedReplyError: The connection ended within the reply.
     """
-    # `http.client` only calls `makefile` on what it is given as a socket.
-    response = ForwardReply(stream, method=method)  # type: ignore
-    response.begin()
-    body = response.read(REPLY_LIMIT_BYTES + 1)
-    if len(body) > REPLY_LIMIT_BYTES:
-        raise ValueError("reply body exceeds the size limit")
-    if response.length:
-        raise http.client.IncompleteRead(body, response.length)
-    return response, body
-
-
-def has_unread_bytes(stream: ReplyStream) -> bool:
-    """Returns whether bytes after a reply are already buffered; does not block."""
-    raw = stream.raw
-    raw.paused = True
-    try:
-        has_unread = bool(stream.peek(1))
-    finally:
-        raw.paused = False
-    if has_unread:
-        # Bytes after a complete reply belong to no request.
-        metrics.dropped_total.inc({"reason": "bytes_after_reply"})
-    return has_unread
+    data = first
+    while parser.reply is None:
+        if data:
+            parser.feed(data)
+        else:
+            parser.finish()
+        if parser.reply is None:
+            data = sock.recv(READ_SIZE_BYTES)
+    return parser.reply
--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -5,7 +5,6 @@
 """
 
 import http.client
-import io
 import socket
 
 import msgspec
@@ -23,6 +22,12 @@
     SubrequestUnknown,
 )
 from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.reply_parser import (
+    REPLY_LIMIT_BYTES,
+    MalformedReplyError,
+    ReplyParser,
+    TruncatedReplyError,
+)
 
 REASON_CONNECT = "connect_failed"
 REASON_DEADLINE = "deadline_unreachable"
@@ -34,13 +39,7 @@
 REASON_WRONG_SHARD = "wrong_shard"
 CONNECT_TIMEOUT_MS = 500
 CANCEL_TIMEOUT_MS = 500
-REPLY_LIMIT_BYTES = 4 * 1024 * 1024
-READ_BUFFER_BYTES = 16 * 1024
-HEADER_COUNT_LIMIT = 100
-HEADER_LINE_LIMIT_BYTES = 8 * 1024
-# A reply that repeats one of these headers is rejected: the end of its body would be
-# ambiguous.
-FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
+READ_SIZE_BYTES = 16 * 1024
 # An order is not sent on a connection that was idle for longer than this: HTTP servers
 # close idle connections after a few seconds, and if one closes while the order is being
 # written, the outcome of the order is unknown. A query can be retried and reuses the
@@ -53,85 +52,6 @@
 _decoder = msgspec.json.Decoder(dict)
 
 
-class DeadlineReader(io.RawIOBase):
-    """Raw reader of a socket with one deadline for all reads together.
-
-    A socket timeout restarts with each read, so an upstream that sends a byte from time
-    to time could block a thread for ever.
-    """
-
-    __slots__ = ("_socket", "_clock", "_deadline_ms")
-
-    def __init__(self, *, sock: socket.socket, clock: Clock, deadline_ms: float):
-        self._socket = sock
-        self._clock = clock
-        self._deadline_ms = deadline_ms
-
-    def readable(self) -> bool:
-        """Returns True, as `io.BufferedReader` requires."""
-        return True
-
-    def readinto(self, buffer) -> int:
-        """Reads the available bytes, blocking for the first one until the deadline."""
-        set_timeout(self._socket, self._deadline_ms - self._clock.now_ms())
-        return self._socket.recv_into(buffer)
-
-    def makefile(self, mode: str) -> io.BufferedReader:
-        """Returns a buffered reader; `http.client` calls this as on a socket."""
-        return io.BufferedReader(self, READ_BUFFER_BYTES)
-
-
-class ReplyReader(http.client.HTTPResponse):
-    """HTTP response that parses its headers without the parser of `email`.
-
-    That parser took about half of the time of an exchange. The body is still read by
-    `http.client`.
-    """
-
-    def begin(self) -> None:
-        """Reads the status line and headers.
-
-        Raises:
-            HTTPException: The head is malformed or too long, or does not declare
-                exactly one of content length and chunked transfer encoding.
-        """
-        version, status, reason = self._read_status()
-        self.code = self.status = status
-        self.reason = reason
-        self.version = 10 if version == "HTTP/1.0" else 11
-        headers = self._read_fields()
-        self.chunked = headers.get("transfer-encoding", "").lower() == "chunked"
-        self.chunk_left = None
-        length = headers.get("content-length")
-        if self.chunked == (length is not None):
-            # With neither, a truncated reply could not be told from a complete one.
-            raise http.client.HTTPException(
-                "not exactly one of content-length and chunked transfer encoding"
-            )
-        if length is not None and not length.isdecimal():
-            raise http.client.HTTPException(f"malformed content-length {length!r}")
-        self.length = None if length is None else int(length)
-        connection = headers.get("connection", "").lower()
-        self.will_close = self.version == 10 or connection == "close"
-
-    def _read_fields(self) -> dict[str, str]:
-        fields: dict[str, str] = {}
-        for _ in range(HEADER_COUNT_LIMIT):
-            line = self.fp.readline(HEADER_LINE_LIMIT_BYTES + 1)
-            if len(line) > HEADER_LINE_LIMIT_BYTES or not line.endswith(b"\n"):
-                raise http.client.HTTPException("header line too long or truncated")
-            if line in (b"\r\n", b"\n"):
-                return fields
-            name, separator, value = line.decode("latin-1").partition(":")
-            name = name.lower()
-            if not separator or name in fields and name in FRAMING_HEADERS:
-                raise http.client.HTTPException(
-                    f"malformed or repeated header {name!r}"
-                )
-            fields[name] = value.strip()
-        raise http.client.HTTPException("too many headers")
-
-
 class SubrequestConnection:
     """A keep-alive connection to one upstream, opened on demand.
 
@@ -184,7 +104,12 @@
         try:
             self._send_request(request, deadline_ms)
             status, decoded = self._read_response(deadline_ms)
-        except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError) as e:
+        except (
+            OSError,
+            MalformedReplyError,
+            TruncatedReplyError,
+            urllib3.exceptions.HTTPError,
+        ) as e:
             if not self._bytes_written and self._clock.now_ms() >= deadline_ms:
                 return self._close_with_failure(subrequest, REASON_DEADLINE)
             return self._close_with_failure(subrequest, classify_error(e))
@@ -201,7 +126,12 @@
         try:
             self._send_request(request, deadline_ms)
             self._read_response(deadline_ms)
-        except (OSError, http.client.HTTPException, urllib3.exceptions.HTTPError):
+        except (
+            OSError,
+            MalformedReplyError,
+            TruncatedReplyError,
+            urllib3.exceptions.HTTPError,
+        ):
             self.close()
             return False
         except (ValueError, msgspec.MsgspecError, RecursionError):
@@ -267,24 +197,24 @@
             )
 
     def _read_response(self, deadline_ms: float) -> tuple[int, dict]:
-        assert self._socket is not None
-        reader = DeadlineReader(
-            sock=self._socket, clock=self._clock, deadline_ms=deadline_ms
-        )
-        # `http.client` only calls `makefile` on what it is given as a socket.
-        response = ReplyReader(reader, method="POST")  # type: ignore
-        response.begin()
-        if (response.length or 0) > REPLY_LIMIT_BYTES:
-            raise ValueError("reply body exceeds the size limit")
-        data = response.read(REPLY_LIMIT_BYTES + 1)
-        if len(data) > REPLY_LIMIT_BYTES:
-            raise ValueError("reply body exceeds the size limit")
-        if response.length:
-            raise http.client.IncompleteRead(data, response.length)
-        if response.will_close:
+        sock = self._socket
+        assert sock is not None
+        parser = ReplyParser(method="POST")
+        while parser.reply is None:
+            # One deadline for all reads together: an upstream that sends a byte from
+            # time to time must not block the thread for longer.
+            set_timeout(sock, deadline_ms - self._clock.now_ms())
+            data = sock.recv(READ_SIZE_BYTES)
+            if not data:
+                # Also for a reply that declares no length: a truncated one could not
+                # be told from a complete one.
+                raise TruncatedReplyError("the connection ended within the reply")
+            parser.feed(data)
+        reply = parser.reply
+        if reply.closes_connection or parser.has_excess:
             self.close()
         self._last_used_ms = self._clock.now_ms()
-        return response.status, _decoder.decode(data)
+        return reply.status, _decoder.decode(reply.body)
 
     def _create_outcome(
         self, subrequest: Subrequest, status: int, decoded: dict, elapsed_ms: float
@@ -356,11 +286,7 @@
     match error:
         case TimeoutError():
             return REASON_TIMEOUT
-        case http.client.RemoteDisconnected():
-            return REASON_BROKEN
-        case http.client.IncompleteRead():
-            return REASON_BROKEN
-        case http.client.HTTPException():
+        case MalformedReplyError():
             return REASON_MALFORMED
         case _:
             return REASON_BROKEN
--- a/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
@@ -1,20 +1,15 @@
-"""HTTP encoding of forwarded requests, and parsing and classification of replies.
+"""HTTP encoding of forwarded requests, and classification of the replies to them.
 
 A result reports that the request did not run only if no byte of it was written or the
 upstream itself said so. A reply that belongs to another request is never returned.
 """
 
 import dataclasses
-import http.client
 import re
 
 from gooseberrymux import metrics
 from gooseberrymux.clock import MS_PER_S
-from gooseberrymux.exchange import (
-    HEADER_COUNT_LIMIT,
-    HEADER_LINE_LIMIT_BYTES,
-    REASON_MALFORMED,
-)
+from gooseberrymux.exchange import REASON_MALFORMED
 from gooseberrymux.forward_messages import ForwardCall
 from gooseberrymux.http_types import (
     Headers,
@@ -22,6 +17,7 @@
     find_header,
     select_end_to_end_headers,
 )
+from gooseberrymux.reply_parser import ParsedReply
 from gooseberrymux.settings import HeaderNames
 
 REASON_SHED = "shed"
@@ -34,7 +30,6 @@
 KEEP_ALIVE_MARGIN_MS = 400.0
 KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
 BODILESS_METHODS = frozenset({"GET", "HEAD"})
-NO_BODY_STATUSES = frozenset({204, 304})
 
 _frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -79,62 +74,6 @@
 Result = Replied | Declined | NotSent | Broken
 
 
-class ForwardReply(http.client.HTTPResponse):
-    """HTTP response that keeps all header fields in the order received.
-
-    Unlike the reply to a sub-request, the body may have no declared length and be
-    delimited by the end of the connection.
-    """
-
-    def begin(self) -> None:
-        """Reads the status line and headers, skipping interim (1xx) responses.
-
-        Raises:
-            HTTPException: The head is malformed or too long, or declares both a content
-                length and chunked transfer encoding.
-        """
-        while True:
-            version, status, reason = self._read_status()
-            self.fields = self._read_fields()
-            if status >= 200:
-                break
-        self.code = self.status = status
-        self.reason = reason
-        self.version = 10 if version == "HTTP/1.0" else 11
-        self.chunked = self._find("transfer-encoding").lower() == "chunked"
-        self.chunk_left = None
-        length = self._find("content-length")
-        if self.chunked and length:
-            raise http.client.HTTPException(
-                "both content-length and chunked transfer encoding"
-            )
-        if length and not length.isdecimal():
-            raise http.client.HTTPException(f"malformed content-length {length!r}")
-        self.length = int(length) if length else None
-        if status in NO_BODY_STATUSES or self._method == "HEAD":
-            self.length = 0
-        tokens = self._find("connection").lower()
-        is_unframed = self.length is None and not self.chunked
-        self.will_close = self.version == 10 or "close" in tokens or is_unframed
-
-    def _find(self, name: str) -> str:
-        return find_header(self.fields, name) or ""
-
-    def _read_fields(self) -> Headers:
-        fields = []
-        for _ in range(HEADER_COUNT_LIMIT):
-            line = self.fp.readline(HEADER_LINE_LIMIT_BYTES + 1)
-            if len(line) > HEADER_LINE_LIMIT_BYTES or not line.endswith(b"\n"):
-                raise http.client.HTTPException("header line too long or truncated")
-            if line in (b"\r\n", b"\n"):
-                return tuple(fields)
-            name, separator, value = line.decode("latin-1").partition(":")
-            if not separator:
-                raise http.client.HTTPException(f"malformed header {name!r}")
-            fields.append((name.lower(), value.strip()))
-        raise http.client.HTTPException("too many headers")
-
-
 def encode_head(call: ForwardCall, names: HeaderNames) -> bytes:
     """Returns the encoded request line and headers that are the same for all sends.
 
@@ -185,8 +124,7 @@
 
 def classify_reply(
     call: ForwardCall,
-    response: ForwardReply,
-    body: bytes,
+    received: ParsedReply,
     *,
     names: HeaderNames,
     elapsed_ms: float,
@@ -195,23 +133,24 @@
 
     Args:
         call: The request.
-        response: The parsed head of the reply.
-        body: The body of the reply.
+        received: The reply.
         names: Configured names of the protocol's HTTP headers.
         elapsed_ms: Milliseconds from the send to the complete reply.
     """
-    fields = response.fields
+    fields = received.headers
     echoed = find_header(fields, names.request_id.lower())
     if echoed is not None and echoed != call.request_id:
         metrics.dropped_total.inc({"reason": REASON_FOREIGN})
         return Broken(reason=REASON_FOREIGN)
-    if response.status == STATUS_MISDIRECTED:
+    if received.status == STATUS_MISDIRECTED:
         return Declined(reason=REASON_OTHER_UPSTREAM, elapsed_ms=elapsed_ms)
     if find_header(fields, names.not_run.lower()) is not None:
         return Declined(reason=REASON_SHED, elapsed_ms=elapsed_ms)
     proof = find_header(fields, names.proof.lower()) or ""
     reply = HttpReply(
-        status=response.status, headers=select_end_to_end_headers(fields), body=body
+        status=received.status,
+        headers=select_end_to_end_headers(fields),
+        body=received.body,
     )
     if find_header(fields, "content-encoding") or (reply.is_success and not proof):
         metrics.dropped_total.inc({"reason": "reply_without_proof"})
