End the thread of a link that has nothing to do, and size pynng's pools

Cause: an instance keeps one thread for each peer from the first message on, and pynng starts 24 of its own.

Change: the thread of a link whose connection is up ends after 1.5 s without a step; the connection stays, and the next message, frame or event of the connection starts another thread. pynng gets two task threads and one of each other kind.

The tests for threads of idle links and for losses seen without a thread fail on the code before.

--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import threading
+from collections.abc import Callable
 
 from gooseberrymux.clock import Clock
 from gooseberrymux.codec import Envelope
@@ -14,6 +15,10 @@
 OUTBOUND_LIMIT_MESSAGES = 4_096
 INBOUND_LIMIT_ENVELOPES = 8_192
 BATCH_LIMIT_ITEMS = 128
+# The thread of a link whose connection is up ends after this long without a step. The
+# connection stays, and the next step starts another thread: in a large fleet an
+# instance has a link with every other one and talks with few of them at a time.
+THREAD_IDLE_MS = 1_500.0
 # pynng redials by itself, but not after a connection that was reset during its setup,
 # and its attempt to connect to a machine without power takes many seconds to time out.
 REDIAL_TIMEOUT_MS = 1_000.0
@@ -61,7 +66,12 @@
     """End the thread: the link is closed, with nothing left to send or to deliver."""
 
 
-Step = SendBatch | Deliver | ReportDown | ReportUp | Redial | Close
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Suspend:
+    """End the thread and keep the connection; the link had no step for a while."""
+
+
+Step = SendBatch | Deliver | ReportDown | ReportUp | Redial | Close | Suspend
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,14 +101,19 @@
     only such messages were queued since the first.
 
     The link's thread carries out the steps of `wait_next_step`. Other threads queue
-    messages and report events of the connection.
+    messages and report events of the connection. Whichever of them finds the link
+    without a thread calls `start_thread`.
+
+    Attributes:
+        start_thread: Starts the link's thread; called with the link's lock held.
     """
 
     __slots__ = (
         "name",
         "address",
         "last_heard_ms",
-        "is_started",
+        "start_thread",
+        "_has_thread",
         "_clock",
         "_changed",
         "_outbound",
@@ -122,7 +137,8 @@
         self.name = name
         self.address = address
         self.last_heard_ms = clock.now_ms()
-        self.is_started = False
+        self.start_thread: Callable[[], object] = lambda: None
+        self._has_thread = False
         self._clock = clock
         self._changed = threading.Condition()
         self._outbound: collections.deque = collections.deque()
@@ -188,7 +204,7 @@
             self._outbound.append(message)
             self._is_loss_reportable = self._is_loss_reportable or not despite_loss
             self._awaited_answers = max(0, self._awaited_answers + awaited_answers)
-            self._changed.notify_all()
+            self._wake_thread(opens_link=True)
             return None
 
     def enqueue_received(self, envelope: Envelope) -> bool:
@@ -197,7 +213,7 @@
             if self._is_closed or len(self._inbound) >= INBOUND_LIMIT_ENVELOPES:
                 return False
             self._inbound.append(envelope)
-            self._changed.notify_all()
+            self._wake_thread(opens_link=True)
             return True
 
     def wait_next_step(self) -> Step:
@@ -228,9 +244,38 @@
                 if self._is_closed:
                     return Close()
                 redial_delay_ms = self._compute_redial_delay_ms()
-                if redial_delay_ms is not None and redial_delay_ms <= 0:
+                if redial_delay_ms is None:
+                    if not self._clock.wait(self._changed, THREAD_IDLE_MS):
+                        self._has_thread = self._has_step()
+                    if not self._has_thread:
+                        return Suspend()
+                elif redial_delay_ms <= 0:
                     return Redial()
-                self._clock.wait(self._changed, redial_delay_ms)
+                else:
+                    self._clock.wait(self._changed, redial_delay_ms)
+
+    def _has_step(self) -> bool:
+        """Returns whether there is a step for the thread besides waiting."""
+        return bool(
+            self._outbound
+            or self._inbound
+            or self._report_down_pending
+            or self._report_up_pending
+            or self._redial_pending
+            or self._is_closed
+            or not self._is_up
+        )
+
+    def _wake_thread(self, *, opens_link: bool = False) -> None:
+        """Makes the thread look for its next step, and starts it if it has ended.
+
+        Args:
+            opens_link: Whether to start it also on a link that was never used.
+        """
+        self._changed.notify_all()
+        if not self._has_thread and (opens_link or self._connection_number):
+            self._has_thread = True
+            self.start_thread()
 
     def mark_sent(self) -> None:
         """Records that the latest batch was sent, or reported as not sent."""
@@ -256,7 +301,7 @@
                 # No incarnation is known yet, so no message can be meant for an
                 # earlier one than the process that listens now.
                 self._is_lost = False
-            self._changed.notify_all()
+            self._wake_thread()
 
     def mark_down(self, connection: int = 0) -> None:
         """Records that a connection broke; ignored if it is not the latest one."""
@@ -267,7 +312,7 @@
             self._report_up_pending = False
             self._report_down_pending = True
             self._connecting_since_ms = self._clock.now_ms()
-            self._changed.notify_all()
+            self._wake_thread()
 
     def has_broken(self) -> bool:
         """Returns whether the connection broke and `ReportDown` is still to come."""
@@ -304,7 +349,7 @@
             self._is_lost = not self._is_up or bool(self._incarnation)
             # An unresponsive connection may never recover, while a new one would work.
             self._redial_pending = is_unresponsive and self._is_up
-            self._changed.notify_all()
+            self._wake_thread()
             return loss
 
     def update_incarnation(self, incarnation: int) -> Loss | None:
@@ -334,7 +379,7 @@
         """
         with self._changed:
             self._is_closed = True
-            self._changed.notify_all()
+            self._wake_thread()
 
     def _compute_redial_delay_ms(self) -> float | None:
         """Returns the time left to set up the connection; None if it is up."""
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -1,4 +1,4 @@
-"""Messaging between instances: one pynng listener, and one thread for each peer.
+"""Messaging between instances: one pynng listener, one thread for each active peer.
 
 An incarnation is the number of one process run of an instance. Each envelope names
 the incarnation that it is addressed to: pynng reconnects without notice, so the sender
@@ -36,7 +36,7 @@
     ProbeRequest,
 )
 from gooseberrymux.records import InstanceIdentity
-from gooseberrymux.sessions import Session
+from gooseberrymux.sessions import Session, limit_library_threads
 from gooseberrymux.settings import Address
 
 # The codec rejects frames over FRAME_LIMIT_BYTES, and they are counted as drops. Beyond
@@ -149,6 +149,7 @@
     def start(self) -> None:
         """Opens the listener and starts the thread that reads from it."""
         address = self._kernel.settings.instance.peers
+        limit_library_threads()
         self._listener = pynng.Pull0(
             listen=f"tcp://{address}", recv_max_size=RECEIVE_LIMIT_BYTES
         )
@@ -182,17 +183,14 @@
                 return
             if self._stopping:
                 return
-            link = Link(name=name, address=address, clock=self._kernel.clock)
+            link = self._create_link(name, address)
             self._links[name] = link
         if existing:
             self._publish_loss(existing, existing.mark_lost(), "address changed")
             existing.close()
 
-    def _start_link(self, link: Link) -> None:
-        with self._lock:
-            if link.is_started:
-                return
-            link.is_started = True
+    def _create_link(self, name: str, address: Address) -> Link:
+        link = Link(name=name, address=address, clock=self._kernel.clock)
         session = Session(
             kernel=self._kernel,
             get_identity=lambda: self.identity,
@@ -204,7 +202,10 @@
             report_unsent=self._publish_unsent,
             count_sent=self._count_sent,
         )
-        self._kernel.spawn(name=f"peers.{link.name}", target=session.run)
+        link.start_thread = lambda: self._kernel.spawn(
+            name=f"peers.{name}", target=session.run
+        )
+        return link
 
     def disconnect(self, name: str) -> None:
         """Closes and removes the link with a peer that left the fleet."""
@@ -263,8 +264,6 @@
         link = self._links.get(name)
         if link is None:
             return Err(PeerError(step="peers.send", peer=name, message="no link"))
-        if not link.is_started:
-            self._start_link(link)
         refusal_reason = link.enqueue(
             message,
             awaited_answers=count_expected_answers(message),
@@ -341,8 +340,6 @@
         if envelope.sender_incarnation >= link.incarnation:
             if link.mark_heard():
                 self._kernel.publish(PeerHeard(instance=link.name))
-        if not link.is_started:
-            self._start_link(link)
         if not link.enqueue_received(envelope):
             self._record_drop("inbound_full", envelope.sender)
 
--- a/packages/gooseberrymux/src/gooseberrymux/sessions.py
+++ b/packages/gooseberrymux/src/gooseberrymux/sessions.py
@@ -1,7 +1,8 @@
 """Session with one peer: carries out the steps of its link, in the peer's thread.
 
-The same thread sends on the pynng socket and calls the handlers of received messages,
-so that each instance of a fleet of n needs n threads for its peers and not 2 n.
+The same thread sends on the pynng socket and calls the handlers of received messages.
+It ends while there is nothing to do for a while, so that the number of threads follows
+from the peers that an instance talks with and not from the size of the fleet.
 """
 
 from collections.abc import Callable
@@ -20,6 +21,8 @@
     ReportDown,
     ReportUp,
     SendBatch,
+    Step,
+    Suspend,
 )
 from gooseberrymux.records import InstanceIdentity
 
@@ -38,8 +41,29 @@
 REASON_SEND_TIMED_OUT = "send timed out"
 
 
+# pynng starts a thread for each processor and kind of work by default. A link needs
+# little of them, as each instance runs one thread of Python code at a time.
+NNG_TASK_THREADS = 2
+NNG_OTHER_THREADS = 1
+
+
+def limit_library_threads() -> None:
+    """Sets the number of pynng's own threads; has no effect after its first socket."""
+    lib = pynng.lib
+    for parameter, count in (
+        (lib.NNG_INIT_NUM_TASK_THREADS, NNG_TASK_THREADS),
+        (lib.NNG_INIT_NUM_EXPIRE_THREADS, NNG_OTHER_THREADS),
+        (lib.NNG_INIT_NUM_POLLER_THREADS, NNG_OTHER_THREADS),
+        (lib.NNG_INIT_NUM_RESOLVER_THREADS, NNG_OTHER_THREADS),
+    ):
+        lib.nng_init_set_parameter(parameter, count)
+
+
 class Session:
-    """Owns the socket to one peer; `run` is the body of its thread."""
+    """Owns the socket to one peer; `run` is the body of its thread.
+
+    The socket stays open while the session has no thread.
+    """
 
     __slots__ = (
         "_kernel",
@@ -51,6 +75,7 @@
         "_report_up",
         "_report_unsent",
         "_count_sent",
+        "_socket",
     )
 
     def __init__(
@@ -75,45 +100,58 @@
         self._report_up = report_up
         self._report_unsent = report_unsent
         self._count_sent = count_sent
+        self._socket: pynng.Push0 | None = None
 
     def run(self) -> None:
-        """Serves the link until it is closed; opens new connections as needed."""
-        while self._serve_connection():
+        """Carries out the link's steps until it is closed or has none for a while."""
+        if self._socket is None:
+            self._socket = self._dial()
+        while self._carry_out(self._link.wait_next_step()):
             pass
 
-    def _serve_connection(self) -> bool:
-        """Carries out steps on one connection; returns whether to open another one."""
+    def _dial(self) -> pynng.Push0:
+        """Returns a new socket, which connects in the background."""
         link = self._link
         number = link.register_connection()
-        with pynng.Push0(
+        socket = pynng.Push0(
             send_timeout=SEND_ATTEMPT_TIMEOUT_MS,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
-        ) as socket:
-            # pynng runs these callbacks in its own threads, so they only set flags.
-            socket.add_post_pipe_connect_cb(lambda pipe: link.mark_up(number))
-            socket.add_post_pipe_remove_cb(lambda pipe: link.mark_down(number))
-            socket.dial(f"tcp://{link.address}", block=False)
-            while True:
-                match link.wait_next_step():
-                    case SendBatch(messages=messages, incarnation=incarnation):
-                        self._send_batch(socket, messages, incarnation)
-                        link.mark_sent()
-                        if self._kernel.is_draining:
-                            self._kernel.wake()
-                    case Deliver(envelopes=envelopes):
-                        for envelope in envelopes:
-                            self._deliver(link, envelope)
-                    case ReportDown():
-                        self._report_down(link, REASON_CONNECTION_BROKE)
-                    case ReportUp():
-                        self._report_up(link)
-                    case Redial():
-                        journal.record_event("peers.redial", peer=link.name)
-                        return True
-                    case Close():
-                        self._kernel.clock.sleep_ms(LINGER_MS)
-                        return False
+        )
+        # pynng runs these callbacks in its own threads, so they only set flags.
+        socket.add_post_pipe_connect_cb(lambda pipe: link.mark_up(number))
+        socket.add_post_pipe_remove_cb(lambda pipe: link.mark_down(number))
+        socket.dial(f"tcp://{link.address}", block=False)
+        return socket
+
+    def _carry_out(self, step: Step) -> bool:
+        """Carries out one step; returns whether the thread goes on."""
+        link = self._link
+        assert self._socket is not None
+        match step:
+            case SendBatch(messages=messages, incarnation=incarnation):
+                self._send_batch(self._socket, messages, incarnation)
+                link.mark_sent()
+                if self._kernel.is_draining:
+                    self._kernel.wake()
+            case Deliver(envelopes=envelopes):
+                for envelope in envelopes:
+                    self._deliver(link, envelope)
+            case ReportDown():
+                self._report_down(link, REASON_CONNECTION_BROKE)
+            case ReportUp():
+                self._report_up(link)
+            case Redial():
+                journal.record_event("peers.redial", peer=link.name)
+                self._socket.close()
+                self._socket = self._dial()
+            case Suspend():
+                return False
+            case Close():
+                self._kernel.clock.sleep_ms(LINGER_MS)
+                self._socket.close()
+                return False
+        return True
 
     def _send_batch(
         self, socket: pynng.Push0, messages: list, incarnation: int
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -13,6 +13,7 @@
     ReportDown,
     ReportUp,
     SendBatch,
+    Suspend,
 )
 from gooseberrymux.settings import Address
 
@@ -210,3 +211,77 @@
     link = create_link()
     assert link.enqueue_received("first")
     assert not link.enqueue_received("second")
+
+
+class ExpiringClock(ManualClock):
+    """A clock on which each wait passes its timeout at once."""
+
+    def wait(self, condition, timeout_ms):
+        return False
+
+
+class ThreadCounter:
+    """Counts how often a link asks for a thread."""
+
+    def __init__(self, link):
+        self.started = 0
+        link.start_thread = self.start
+
+    def start(self):
+        self.started += 1
+
+
+def create_idle_link():
+    """Returns a link that is up and whose thread has ended, and its counter."""
+    link = Link(name="peer", address=Address(port=1), clock=ExpiringClock())
+    threads = ThreadCounter(link)
+    enqueue(link, "first")
+    link.mark_up(link.register_connection())
+    assert isinstance(link.wait_next_step(), SendBatch)
+    link.mark_sent()
+    assert link.wait_next_step() == Suspend()
+    assert threads.started == 1
+    return link, threads
+
+
+def test_an_idle_link_gives_up_its_thread_and_gets_another_with_the_next_message():
+    # Guards against one thread for each member of a large fleet.
+    link, threads = create_idle_link()
+    assert enqueue(link, "next") is None
+    assert threads.started == 2
+    assert link.wait_next_step().messages == ["next"]
+
+
+def test_whatever_happens_to_a_link_without_a_thread_starts_one():
+    # Guards against a broken connection that nobody reports or replaces.
+    for act, expected in (
+        (lambda link: link.mark_down(1), ReportDown()),
+        (lambda link: link.enqueue_received("envelope"), None),
+        (lambda link: link.close(), Close()),
+        (lambda link: link.mark_lost(is_unresponsive=True), Redial()),
+    ):
+        link, threads = create_idle_link()
+        link.update_incarnation(1)
+        act(link)
+        assert threads.started == 2
+        step = link.wait_next_step()
+        assert step == expected or isinstance(step, Deliver)
+
+
+def test_a_link_that_is_down_keeps_its_thread():
+    # Guards against a link to a restarted peer that is not dialled again.
+    link, threads = create_idle_link()
+    link.mark_down(1)
+    assert link.wait_next_step() == ReportDown()
+    link.mark_lost()
+    link._clock.advance(REDIAL_TIMEOUT_MS)
+    assert link.wait_next_step() == Redial()
+    assert threads.started == 2
+
+
+def test_a_link_that_was_never_used_starts_no_thread_when_it_is_closed():
+    link = Link(name="peer", address=Address(port=1), clock=ExpiringClock())
+    threads = ThreadCounter(link)
+    link.mark_lost()
+    link.close()
+    assert threads.started == 0
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """Links over real sockets: losses, restarts, invalid and misdirected frames."""
 
 import secrets
+import threading
 import zlib
 
 import pynng
@@ -311,6 +312,42 @@
         proxy.close()
 
 
+def list_link_threads(name):
+    return [t for t in threading.enumerate() if t.name == f"peers.{name}"]
+
+
+def test_idle_links_have_no_threads_and_keep_their_connections(pair, monkeypatch):
+    # Guards against threads that grow with the fleet, and against a connection that is
+    # opened anew for each message.
+    monkeypatch.setattr("gooseberrymux.links.THREAD_IDLE_MS", 20.0)
+    one, two = pair
+    with running(one, two):
+        for _ in range(3):
+            exchange_greetings(one, two)
+            wait_for(
+                lambda: not list_link_threads("one") and not list_link_threads("two"),
+                "the end of the links' threads",
+            )
+            assert one.peers.describe()["up"] == two.peers.describe()["up"] == 1
+            one.received.clear()
+            two.received.clear()
+        assert one.peers._links["two"]._connection_number == 1
+    assert not one.lost
+
+
+def test_a_peer_that_dies_is_noticed_without_a_thread(pair, monkeypatch):
+    # Guards against calls that are sent to a dead peer, because nobody watches an idle
+    # connection.
+    monkeypatch.setattr("gooseberrymux.links.THREAD_IDLE_MS", 20.0)
+    one, two = pair
+    with running(one):
+        with running(two):
+            exchange_greetings(one, two)
+            wait_for(lambda: not list_link_threads("two"), "the end of the thread")
+        wait_for(lambda: one.lost, "the loss of the peer")
+        assert one.peers.send("two", CancelSubrequest(id="late")).is_err()
+
+
 def test_connections_reset_while_they_are_set_up_are_made_again(pair):
     # Guards against a link that is never redialled: pynng does not redial a connection
     # that was reset during its setup.
