Probe an ejected upstream again after a probe that was overtaken

Cause: the request that probes an ejected upstream is hedged after one median. If the other upstream answers first, the probe is aborted, and its observation left the state at Probing, which counts as ejected and has no end: the owner never sent the upstream anything again.

Change: an overtaken probe is followed by another ejection of the same length.

--- a/packages/gooseberrymux/src/gooseberrymux/upstream_health.py
+++ b/packages/gooseberrymux/src/gooseberrymux/upstream_health.py
@@ -179,6 +179,7 @@
             case Overtaken(elapsed_ms=elapsed_ms):
                 if self.latency_ms is None or elapsed_ms > self.latency_ms:
                     self._update_latency(elapsed_ms, now_ms)
+                self._end_overtaken_probe(now_ms)
             case Shed(queue_wait_ms=wait_ms):
                 self._update_shed_rate(1.0, now_ms)
                 self._queue_wait_ms, self._queue_wait_updated_ms = wait_ms, now_ms
@@ -303,6 +304,14 @@
             case _:
                 pass
 
+    def _end_overtaken_probe(self, now_ms: float) -> None:
+        match self.state:
+            case Probing(ejection_count=ejection_count):
+                # The upstream was too slow to tell whether it has recovered.
+                self.state = create_ejection(ejection_count, now_ms)
+            case _:
+                pass
+
     def _release_probe(self, now_ms: float) -> None:
         match self.state:
             case Probing(ejection_count=ejection_count):
