Check deadline and leaving state when a request is written; keep traffic local

A late hedge did not look at the deadline.

Change: calls carry the entry's clock; the owner takes off what a call was delayed more than the fastest one of the same sender (message_ages). A connection checks deadline, abort and leaving state before and after it opens a socket; such a request is not run and says nothing about the upstream.

Change: 0.5 medians, so that traffic leaves the domain when its upstream is busy or slower; notices from the platform's list stay local. The test that expected another domain for the second request is replaced: a busy slot alone is no reason to cross, full slots are.

--- a/packages/gooseberrymux/src/gooseberrymux/clock.py
+++ b/packages/gooseberrymux/src/gooseberrymux/clock.py
@@ -15,6 +15,13 @@
         """Returns monotonic time in milliseconds, for deadlines and durations."""
         return time.monotonic() * MS_PER_S
 
+    def boot_ms(self) -> float:
+        """Returns monotonic milliseconds that also count while the machine sleeps.
+
+        For times that are compared with those of another machine.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
     def wall_ms(self) -> int:
         """Returns milliseconds since the Unix epoch, for time stamps and key ages."""
         return int(time.time() * MS_PER_S)
@@ -56,6 +63,10 @@
         """Returns the time that the test has set."""
         return self._now_ms
 
+    def boot_ms(self) -> float:
+        """Returns the time that the test has set."""
+        return self._now_ms
+
     def wall_ms(self) -> int:
         """Returns the manual time with a fixed offset, in ms since the Unix epoch."""
         return int(self._now_ms + self._wall_offset_ms)
--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -19,6 +19,7 @@
     NODELAY_OPTIONS,
     READ_SIZE_BYTES,
     REASON_CONNECT,
+    REASON_DEADLINE,
     classify_error,
 )
 from gooseberrymux.forward_exchange import (
@@ -75,6 +76,8 @@
 
 
 ResultHandler = Callable[["Connection", Exchange, Result], None]
+# Returns the reason code for not sending an exchange any more, or None.
+SendCheck = Callable[[Exchange], str | None]
 
 
 class Connection:
@@ -88,6 +91,8 @@
         clock: Source of monotonic time.
         names: Configured names of the protocol's HTTP headers.
         on_result: Called in the connection's thread with the result of each exchange.
+        check_send: Called in the connection's thread before and after a new socket is
+            opened for an exchange.
     """
 
     __slots__ = (
@@ -95,6 +100,7 @@
         "_clock",
         "_names",
         "_on_result",
+        "_check_send",
         "_condition",
         "_socket",
         "_current",
@@ -110,11 +116,13 @@
         clock: Clock,
         names: HeaderNames,
         on_result: ResultHandler,
+        check_send: SendCheck = lambda exchange: None,
     ):
         self._record = record
         self._clock = clock
         self._names = names
         self._on_result = on_result
+        self._check_send = check_send
         self._condition = threading.Condition()
         self._socket: socket.socket | None = None
         self._current: Exchange | None = None
@@ -234,7 +242,13 @@
         )
 
     def _connect_and_write(self, exchange: Exchange) -> NotSent | Broken | None:
-        """Opens a socket and writes a request; returns the failure, or None."""
+        """Opens a socket and writes a request; returns the failure, or None.
+
+        The thread may run long after the exchange was started, so whether it is still
+        to be sent is checked here again.
+        """
+        if reason := self._find_obstacle(exchange):
+            return NotSent(reason=reason)
         metrics.upstream_connections_total.inc({})
         remaining_ms = exchange.deadline_ms - self._clock.now_ms()
         try:
@@ -251,6 +265,9 @@
                 return NotSent(reason=REASON_ABORTED)
             self._socket = sock
             self._idle_limit_ms = float("inf")
+        if reason := self._find_obstacle(exchange):
+            self._close_socket()
+            return NotSent(reason=reason)
         request = self._encode_request(exchange)
         try:
             while exchange.bytes_written < len(request):
@@ -267,6 +284,14 @@
         sock.settimeout(None)
         return None
 
+    def _find_obstacle(self, exchange: Exchange) -> str | None:
+        """Returns the reason code for not sending an exchange, or None."""
+        if exchange.aborted:
+            return REASON_ABORTED
+        if self._clock.now_ms() >= exchange.deadline_ms:
+            return REASON_DEADLINE
+        return self._check_send(exchange)
+
     def _read_reply(self) -> bool:
         """Waits for and reads one reply; returns whether the socket can be reused."""
         sock = self._socket
--- a/packages/gooseberrymux/src/gooseberrymux/departures.py
+++ b/packages/gooseberrymux/src/gooseberrymux/departures.py
@@ -142,12 +142,13 @@
         """Returns the notices to send to peers in the periodic exchange.
 
         Notices about unlisted upstreams are not sent. Otherwise instances that removed
-        them would get them back from others, and they would never expire.
+        them would get them back from others, and they would never expire. Notices that
+        follow from the platform's list are not sent, as each instance has the list.
         """
         return [
             notice
             for name, notice in self._notices.items()
-            if name not in self._unlisted_since_ms
+            if name not in self._unlisted_since_ms and notice.source != SOURCE_PLATFORM
         ]
 
 
@@ -310,7 +311,9 @@
             source=notice.source,
             peer=sender_name,
         )
-        self._push([merged], count=PUSH_FANOUT, excluded=sender_name)
+        if notice.source != SOURCE_PLATFORM:
+            # All instances receive the platform's list itself as a document.
+            self._push([merged], count=PUSH_FANOUT, excluded=sender_name)
         if is_leaving and not was_leaving:
             self._publish(notice.upstream, notice.epoch, notice.source)
 
--- a/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
@@ -36,6 +36,7 @@
         body: Request body.
         top: Records wanted of all parts together, the greatest ones; 0 if parts are
             not merged.
+        sent_ms: The entry's `Clock.boot_ms` when the call was created; 0 if unknown.
     """
 
     id: str
@@ -53,6 +54,7 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes = b""
     top: int = 0
+    sent_ms: float = 0.0
 
 
 @_message
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -57,6 +57,11 @@
     "Time to answer a forwarded request in milliseconds, by rank.",
     buckets=LATENCY_BUCKETS_MS,
 )
+call_delay_ms = Histogram(
+    "gooseberrymux_call_delay_ms",
+    "Time in milliseconds by which calls to this owner were delayed under way.",
+    buckets=LATENCY_BUCKETS_MS,
+)
 sends_total = Counter(
     "gooseberrymux_sends_total",
     "Forwarded requests sent to upstreams, by cause (first, hedge, retry) and outcome.",
--- a/packages/gooseberrymux/src/gooseberrymux/parts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/parts.py
@@ -147,6 +147,7 @@
             template,
             id=f"{identity.name}-{identity.incarnation:x}-{next(self._counter)}",
             services=services,
+            sent_ms=self._kernel.clock.boot_ms(),
         )
         call = PartsCall(
             message=message,
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -347,6 +347,7 @@
                 request.settled
                 or len(request.active_exchanges) != 1
                 or request.attempts_left < 1
+                or now_ms + request.latency.median_ms > request.deadline_ms
             ):
                 return
             replica = self._replicas.choose(
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -1,5 +1,6 @@
 """Owner side of forwarded requests: one pool for each service that is owned here."""
 
+import dataclasses
 import threading
 
 from gooseberrymux import metrics
@@ -13,6 +14,7 @@
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.merging import Collector
+from gooseberrymux.message_ages import MessageAges
 from gooseberrymux.peers import Peers
 from gooseberrymux.pending_requests import OutcomeCallback, PendingRequest
 from gooseberrymux.pool import REASON_LEAVING, Pool, PoolDependencies
@@ -24,6 +26,8 @@
 # Merged parts are sent this long before the latency target, so that the entry instance
 # can receive them, merge them and answer the caller on time.
 FLUSH_MARGIN_MS = 13.0
+# A shorter delay of a call is within the margin that deadlines have anyway.
+DELAY_IGNORED_MS = 2.0
 
 
 @service("pools", requires=("peers", "inventory", "routes", "timers"))
@@ -37,6 +41,7 @@
         "_dependencies",
         "_pools",
         "_collectors",
+        "_ages",
         "_lock",
         "_leaving",
     )
@@ -54,6 +59,7 @@
         )
         self._pools: dict[str, Pool] = {}
         self._collectors: dict[tuple[str, str], Collector] = {}
+        self._ages = MessageAges()
         self._lock = threading.Lock()
         self._leaving = False
         self._peers.register(ForwardCall, self._handle_call)
@@ -184,7 +190,33 @@
             if self._kernel.is_draining:
                 self._kernel.wake()
 
-        self.submit(message, send_outcome, requester=sender.name)
+        self.submit(
+            self._subtract_delay(message, sender), send_outcome, requester=sender.name
+        )
+
+    def _subtract_delay(
+        self, call: ForwardCall, sender: InstanceIdentity
+    ) -> ForwardCall:
+        """Returns a call whose times left are counted from now.
+
+        On a busy machine a call may have waited for long at either end. Without this an
+        upstream would be given more time than the caller still waits.
+        """
+        if not call.sent_ms:
+            return call
+        delay_ms = self._ages.estimate_ms(
+            sender=sender,
+            sent_ms=call.sent_ms,
+            received_ms=self._kernel.clock.boot_ms(),
+        )
+        if delay_ms < DELAY_IGNORED_MS:
+            return call
+        metrics.call_delay_ms.observe({}, delay_ms)
+        return dataclasses.replace(
+            call,
+            remaining_ms=call.remaining_ms - delay_ms,
+            target_ms=call.target_ms - delay_ms,
+        )
 
     def _handle_cancel(self, sender: InstanceIdentity, message: object) -> None:
         assert isinstance(message, CancelForward)
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -6,7 +6,7 @@
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
-from gooseberrymux.replicas import SLOW_FACTOR, Replica
+from gooseberrymux.replicas import REASON_UPSTREAM_LEAVING, SLOW_FACTOR, Replica
 
 UNLIMITED_CONNECTIONS = 1 << 16
 
@@ -185,6 +185,7 @@
             clock=self._kernel.clock,
             names=self._kernel.settings.gateway.headers,
             on_result=finish,
+            check_send=lambda exchange: self._find_obstacle(replica),
         )
         self._opened_count += 1
         self._kernel.spawn(
@@ -193,6 +194,12 @@
         )
         return connection
 
+    def _find_obstacle(self, replica: Replica) -> str | None:
+        """Returns the reason code for sending an upstream no more requests, or None."""
+        if self._inventory.is_leaving(replica.record):
+            return REASON_UPSTREAM_LEAVING
+        return None
+
     def release_connection(self, replica: Replica, connection: Connection) -> None:
         """Keeps a connection for reuse, or closes it if its upstream was replaced."""
         if self._replicas.get(replica.record.name) is replica:
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -4,11 +4,13 @@
 
 from gooseberrymux import forward_exchange, journal
 from gooseberrymux.connections import Connection, Exchange
+from gooseberrymux.exchange import REASON_DEADLINE
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.upstream_health import (
     SERVING,
     Ejected,
     Failed,
+    NoEvidence,
     Observation,
     Overtaken,
     Probing,
@@ -31,9 +33,14 @@
 # Relative cost added to an upstream whose slots are all busy, in proportion for fewer;
 # of two upstreams that are otherwise equal, the less loaded one is preferred.
 IN_FLIGHT_WEIGHT = 0.3
-# Cost added to an upstream in another failure domain, in median exchange times.
-REMOTE_DOMAIN_COST = 0.1
+# Cost added to an upstream in another failure domain, in median exchange times. It
+# exceeds the usual differences between upstreams and the cost of one busy slot, so that
+# traffic leaves the domain only if the upstream there does not keep pace.
+REMOTE_DOMAIN_COST = 0.5
 EJECTION_LIMIT_MS = 2_000.0
+REASON_UPSTREAM_LEAVING = "upstream_leaving"
+# Why this instance itself did not send a request.
+OWN_REASONS = frozenset({REASON_DEADLINE, REASON_UPSTREAM_LEAVING})
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -207,6 +214,8 @@
     """Returns what a result shows about its upstream; times are in medians."""
     slowness = (now_ms - exchange.sent_ms) / max(1.0, latency.median_ms)
     match result:
+        case forward_exchange.NotSent(reason=reason) if reason in OWN_REASONS:
+            return NoEvidence()
         case forward_exchange.Replied(reply=reply) if reply.status >= 500:
             return Failed()
         case forward_exchange.Replied(elapsed_ms=elapsed_ms):
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -46,13 +46,14 @@
 class ConnectionDriver:
     """Runs a connection in a thread and collects the results of its exchanges."""
 
-    def __init__(self, record):
+    def __init__(self, record, check_send=lambda exchange: None):
         self.results = queue.Queue()
         self.connection = Connection(
             record=record,
             clock=CLOCK,
             names=NAMES,
             on_result=lambda connection, exchange, result: self.results.put(result),
+            check_send=check_send,
         )
         self.thread = threading.Thread(
             target=lambda: self.connection.serve(lambda: False), daemon=True
@@ -100,7 +101,7 @@
     """Runs one exchange, aborts it after `budget_ms`, and returns its result."""
     exchange = driver.start_exchange(call, budget_ms)
     try:
-        return driver.results.get(timeout=budget_ms / 1000)
+        return driver.results.get(timeout=max(0.1, budget_ms / 1000))
     except queue.Empty:
         driver.connection.abort(exchange)
         return driver.results.get(timeout=5)
@@ -345,3 +346,25 @@
         run_exchange(driver, dataclasses.replace(CALL, body=body)), Replied
     )
     assert received == [0, len(body)]
+
+
+def test_nothing_is_sent_after_the_deadline(start_upstream):
+    # Guards against work that an upstream does for a caller who has given up, when the
+    # connection's thread runs late.
+    upstream, driver = start_upstream()
+    assert run_exchange(driver, budget_ms=-1.0) == NotSent(
+        reason="deadline_unreachable"
+    )
+    assert upstream.connections == 0
+
+
+def test_an_upstream_that_leaves_while_its_connection_opens_gets_no_request():
+    # Guards against new work for a leaving upstream, as a connection may open slowly.
+    upstream = HttpUpstream(lambda request: request.reply())
+    answers = iter((None, "upstream_leaving"))
+    driver = ConnectionDriver(upstream.create_record(), lambda _: next(answers))
+    assert run_exchange(driver) == NotSent(reason="upstream_leaving")
+    wait_until(lambda: upstream.connections == 1, message="no connection")
+    assert not upstream.requests
+    driver.close()
+    upstream.close()
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -168,3 +168,24 @@
     assert departures.is_leaving("u", 1)
     departures.apply_platform_list({"u": 2}, {})
     assert not departures.is_leaving("u", 2)
+
+
+def test_what_the_platforms_list_says_is_not_pushed_to_peers(monkeypatch):
+    """Guards against messages that grow with instances times upstreams.
+
+    All instances receive the platform's list as a document, and a repartition makes
+    all upstreams of an index leave at once.
+    """
+    node = Node("one", services=SERVICES)
+    departures = find_departures(node)
+    pushed = []
+    monkeypatch.setattr(
+        Departures, "_push", lambda self, notices, **_: pushed.extend(notices)
+    )
+    departures.apply_platform_list({"u": 1, "v": 1}, {"u": 1})
+    assert departures.is_leaving("u", 1)
+    assert not pushed
+    assert not departures._table.list_for_exchange()
+    departures.report_leaving(upstream="v", epoch=1, source=SOURCE_UPSTREAM)
+    assert [notice.upstream for notice in pushed] == ["v"]
+    assert [n.upstream for n in departures._table.list_for_exchange()] == ["v"]
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -497,3 +497,38 @@
         owner.pools.submit(call, owner.outcomes.append, requester=requester)
     assert len(owner.wait_for_outcomes(2)) == 2
     assert dataclasses.asdict(call)["id"] == call.id
+
+
+def deliver_call(owner, delay_ms, **fields):
+    """Delivers a call of another instance that was under way for `delay_ms` longer."""
+    peers = owner.kernel.find("peers", FakePeers)
+    peers.incarnations["other"] = 1
+    for sent_ms in (owner.kernel.clock.boot_ms(), None):
+        call = create_call(
+            sent_ms=sent_ms or owner.kernel.clock.boot_ms() - delay_ms, **fields
+        )
+        peers.receive("other", 1, call)
+    return call
+
+
+def test_the_time_that_a_call_was_under_way_is_not_given_to_upstreams(owner):
+    """Guards against an upstream that is handed more time than the caller has left.
+
+    The clocks of two instances differ, so the first call of a sender shows how.
+    """
+    upstream = owner.add_upstream("u", lambda r: r.reply(), slots=2)
+    deliver_call(owner, 400.0, remaining_ms=1_000.0)
+    wait_until(lambda: len(upstream.requests) == 2, message="not sent")
+    first, second = (int(r.headers["x-deadline-ms"]) for r in upstream.requests)
+    assert 900 < first <= 1_000
+    assert 500 < second <= 600
+
+
+def test_a_call_that_arrives_after_its_deadline_is_not_sent(owner):
+    upstream = owner.add_upstream("u", lambda r: r.reply(), slots=2)
+    call = deliver_call(owner, 1_500.0, remaining_ms=1_000.0)
+    peers = owner.kernel.find("peers", FakePeers)
+    wait_until(lambda: len(peers.sent) == 2, message="no outcome")
+    outcomes = {message.call: message for _, message in peers.sent}
+    assert outcomes[call.id].reason == "deadline_unreachable"
+    assert len(upstream.requests) == 1
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -9,7 +9,12 @@
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.replica_set import ReplicaSet
-from gooseberrymux.replicas import SLOW_FACTOR, LatencyEstimate
+from gooseberrymux.replicas import (
+    EJECTION_LIMIT_MS,
+    REASON_UPSTREAM_LEAVING,
+    SLOW_FACTOR,
+    LatencyEstimate,
+)
 from harness import SteppingClock, create_settings
 from test_pool import create_call
 
@@ -81,19 +86,40 @@
         self.finish_exchange(name, exchange, result)
 
 
+def eject(owner, name):
+    """Fails exchanges until the upstream is ejected, then waits for its probe."""
+    while not owner.get_replica(name).is_ejected(owner.clock.now):
+        owner.run_exchange(name, Broken(reason="reset"))
+    owner.clock.now += EJECTION_LIMIT_MS
+
+
+def abort_exchange(owner, name, exchange):
+    exchange.aborted = True
+    owner.finish_exchange(name, exchange, Broken(reason="aborted"))
+
+
 def create_reply(elapsed_ms=10.0, status=200):
     reply = HttpReply(status=status, headers=(), body=b"")
     return Replied(reply=reply, proof="p", elapsed_ms=elapsed_ms)
 
 
-def test_the_own_failure_domain_is_preferred_while_it_is_no_slower():
+def test_the_own_failure_domain_is_preferred_while_it_has_a_slot_and_is_no_slower():
+    # Guards against traffic between failure domains that nobody is served better by.
     owner = Owner()
-    assert owner.choose() == "u0"
-    owner.start_exchange("u0")
+    for _ in range(2):
+        assert owner.choose() == "u0"
+        owner.start_exchange("u0")
     assert owner.choose() == "u1"
     assert owner.choose(tried={"u0", "u1"}) == "u2"
 
 
+def test_small_differences_in_speed_are_no_reason_to_leave_the_failure_domain():
+    owner = Owner()
+    for _ in range(10):
+        owner.run_exchange("u0", create_reply(elapsed_ms=13.0), elapsed_ms=13.0)
+    assert owner.choose() == "u0"
+
+
 def test_the_own_failure_domain_is_left_once_it_is_slower():
     owner = Owner()
     for _ in range(10):
@@ -256,3 +282,31 @@
     assert owner.get_replica("u1").get_slowness(now) > 2.5
     assert owner.replicas.choose(**options, wait_medians=1.0) is None
     assert owner.replicas.choose(**options, wait_medians=9.0).record.name == "u1"
+
+
+def test_a_probe_that_is_overtaken_is_followed_by_another():
+    """Guards against an upstream that is ejected for good.
+
+    The request that probes is hedged, and if the other upstream answers first, the
+    exchange that probes is aborted without a result.
+    """
+    owner = Owner()
+    eject(owner, "u0")
+    assert owner.choose(may_probe=True) == "u0"
+    exchange = owner.start_exchange("u0")
+    owner.clock.now += 15
+    abort_exchange(owner, "u0", exchange)
+    assert owner.choose(may_probe=True) != "u0"
+    owner.clock.now += EJECTION_LIMIT_MS
+    assert owner.choose(may_probe=True) == "u0"
+    owner.run_exchange("u0", create_reply())
+    assert not owner.get_replica("u0").is_ejected(owner.clock.now)
+
+
+def test_what_this_instance_did_not_send_says_nothing_about_the_upstream():
+    # Guards against healthy upstreams that are ejected because this instance is late.
+    owner = Owner()
+    for reason in ("deadline_unreachable", REASON_UPSTREAM_LEAVING):
+        for _ in range(20):
+            owner.run_exchange("u0", NotSent(reason=reason))
+    assert owner.choose() == "u0"
