--- a/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
@@ -137,22 +137,23 @@
         names: Configured names of the protocol's HTTP headers.
         elapsed_ms: Milliseconds from the send to the complete reply.
     """
-    fields = received.headers
-    echoed = find_header(fields, names.request_id.lower())
+    # Of repeated headers the first one counts.
+    fields = dict(reversed(received.headers))
+    echoed = fields.get(names.request_id.lower())
     if echoed is not None and echoed != call.request_id:
         metrics.dropped_total.inc({"reason": REASON_FOREIGN})
         return Broken(reason=REASON_FOREIGN)
     if received.status == STATUS_MISDIRECTED:
         return Declined(reason=REASON_OTHER_UPSTREAM, elapsed_ms=elapsed_ms)
-    if find_header(fields, names.not_run.lower()) is not None:
+    if names.not_run.lower() in fields:
         return Declined(reason=REASON_SHED, elapsed_ms=elapsed_ms)
-    proof = find_header(fields, names.proof.lower()) or ""
+    proof = fields.get(names.proof.lower(), "")
     reply = HttpReply(
         status=received.status,
-        headers=select_end_to_end_headers(fields),
+        headers=select_end_to_end_headers(received.headers),
         body=received.body,
     )
-    if find_header(fields, "content-encoding") or (reply.is_success and not proof):
+    if fields.get("content-encoding") or (reply.is_success and not proof):
         metrics.dropped_total.inc({"reason": "reply_without_proof"})
         return Broken(reason=REASON_MALFORMED)
     return Replied(reply=reply, proof=proof, elapsed_ms=elapsed_ms)
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -27,6 +27,7 @@
 from gooseberrymux.http_types import HttpReply
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
+from gooseberrymux.own_delay import OwnDelay
 from gooseberrymux.records import Rank, Refusal, RunState
 from gooseberrymux.routes import CallerLimits, HttpRoute, HttpRouteTable, Routes
 
@@ -50,7 +51,14 @@
 
 @service(
     "gateway",
-    requires=("forwarding", "routes", "inventory", "callers", "admission"),
+    requires=(
+        "forwarding",
+        "routes",
+        "inventory",
+        "callers",
+        "admission",
+        "own_delay",
+    ),
 )
 class Gateway:
     """Serves callers' HTTP requests, one thread for each connection."""
@@ -62,6 +70,7 @@
         "_inventory",
         "_disconnect_watcher",
         "_admission",
+        "_own_delay",
         "_header_names",
         "_caller_server",
         "_health_server",
@@ -78,6 +87,7 @@
         self._inventory = kernel.find("inventory", Inventory)
         self._disconnect_watcher = kernel.find("callers", DisconnectWatcher)
         self._admission = kernel.find("admission", Admission)
+        self._own_delay = kernel.find("own_delay", OwnDelay)
         self._header_names = kernel.settings.gateway.headers
         self._caller_server: CallerServer | None = None
         self._health_server = None
@@ -181,6 +191,9 @@
             case Ok(forward):
                 pass
         rank = forward.route.rank
+        if refusal := self._own_delay.assess(rank, forward.deadline_ms - started_ms):
+            self._record_refusal(received, refusal)
+            return self._create_refusal_reply(refusal)
         with self._admission.admit(rank) as refused:
             if refused:
                 self._record_refusal(received, refused)
--- a/packages/gooseberrymux/src/gooseberrymux/membership.py
+++ b/packages/gooseberrymux/src/gooseberrymux/membership.py
@@ -14,6 +14,7 @@
 from gooseberrymux.kernel import Kernel, LeaveStarted, SettingsChanged, service
 from gooseberrymux.members import MemberTable
 from gooseberrymux.messages import MemberUpdate, Probe, ProbeReply, ProbeRequest
+from gooseberrymux.own_delay import OwnDelay
 from gooseberrymux.peers import IncarnationRaised, LinkDown, LinkUp, PeerHeard, Peers
 from gooseberrymux.probes import (
     Answered,
@@ -55,7 +56,7 @@
     """The result of `Membership.list_live` may have changed."""
 
 
-@service("membership", requires=("peers",))
+@service("membership", requires=("peers", "own_delay"))
 class Membership:
     """Probes members and keeps the member table.
 
@@ -65,6 +66,7 @@
     __slots__ = (
         "_kernel",
         "_peers",
+        "_own_delay",
         "_table",
         "_probes",
         "_target_selector",
@@ -79,6 +81,7 @@
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._peers = kernel.find("peers", Peers)
+        self._own_delay = kernel.find("own_delay", OwnDelay)
         identity = self._peers.identity
         own = kernel.settings.instance
         self._table = MemberTable(
@@ -200,6 +203,7 @@
                 if wake_ms > now_ms:
                     self._kernel.clock.wait(self._wakeup, wake_ms - now_ms)
                 late_ms = self._kernel.clock.now_ms() - wake_ms
+                self._own_delay.record(late_ms)
                 if late_ms > LATE_WAKEUP_THRESHOLD_MS:
                     self._extend_probe_deadlines(late_ms)
             self._run_due_checks()
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -1,9 +1,48 @@
 """Metrics of one instance, rendered in the Prometheus text format."""
 
+import threading
+
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
 
 LATENCY_BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 
+
+class BufferedCounter:
+    """Counts in a plain table and adds to a counter of the library when rendered.
+
+    The library checks the labels at each increment, which costs more than the rest of
+    the accounting for a request that is sent for each shard. Thread-safe.
+
+    Args:
+        counter: The counter that is rendered.
+        labels: Names of its labels.
+    """
+
+    __slots__ = ("_counter", "_labels", "_counts", "_lock")
+
+    def __init__(self, *, counter: Counter, labels: tuple[str, ...]):
+        self._counter = counter
+        self._labels = labels
+        self._counts: dict[tuple[str, ...], int] = {}
+        self._lock = threading.Lock()
+
+    def increment(self, *values: str) -> None:
+        """Counts one event.
+
+        Args:
+            values: Values of the labels, in their order.
+        """
+        with self._lock:
+            self._counts[values] = self._counts.get(values, 0) + 1
+
+    def flush(self) -> None:
+        """Adds what was counted since the last call to the library's counter."""
+        with self._lock:
+            counts, self._counts = self._counts, {}
+            for values, count in counts.items():
+                self._counter.add(dict(zip(self._labels, values, strict=True)), count)
+
+
 requests_total = Counter(
     "gooseberrymux_requests_total", "Caller requests by kind, rank and outcome."
 )
@@ -62,9 +101,13 @@
     "Time in milliseconds by which calls to this owner were delayed under way.",
     buckets=LATENCY_BUCKETS_MS,
 )
-sends_total = Counter(
-    "gooseberrymux_sends_total",
-    "Forwarded requests sent to upstreams, by cause (first, hedge, retry) and outcome.",
+sends_total = BufferedCounter(
+    counter=Counter(
+        "gooseberrymux_sends_total",
+        "Forwarded requests sent to upstreams, by cause (first, hedge, retry) and "
+        "outcome.",
+    ),
+    labels=("cause", "outcome"),
 )
 upstream_connections_total = Counter(
     "gooseberrymux_upstream_connections_total", "Connections opened to upstreams."
@@ -81,4 +124,5 @@
     Args:
         accept: The `Accept` header of the scrape; empty selects the default format.
     """
+    sends_total.flush()
     return render(REGISTRY, [accept] if accept else [])
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -200,6 +200,8 @@
             self._replicas.close()
 
     def _deliver_outcomes(self) -> None:
+        if not self._outbox:
+            return
         with self._lock:
             outbox, self._outbox = self._outbox, []
         for on_outcome, outcome in outbox:
@@ -280,7 +282,7 @@
         self, request: PendingRequest, replica: Replica, cause: str, now_ms: float
     ) -> None:
         latency = request.latency
-        probing = replica.is_probe_due(now_ms)
+        probing = replica.is_probe_due(now_ms, replica.get_slowness(now_ms))
         connection = self._replicas.acquire_connection(
             replica, finish=self._handle_result, remove_idle=self._remove_idle
         )
@@ -361,9 +363,7 @@
             elif self._budget.try_acquire_extra(now_ms):
                 self._send(request, replica, CAUSE_HEDGE, now_ms)
             else:
-                metrics.sends_total.inc(
-                    {"cause": CAUSE_HEDGE, "outcome": REASON_BUDGET}
-                )
+                metrics.sends_total.increment(CAUSE_HEDGE, REASON_BUDGET)
 
     def _remove_idle(self, replica: Replica, connection: Connection) -> bool:
         with self._lock:
@@ -382,8 +382,7 @@
             exchange.request.active_exchanges.remove(exchange)
             exchange.replica.finish_exchange(exchange, result, now_ms)
             self._replicas.release_connection(exchange.replica, connection)
-            outcome = type(result).__name__
-            metrics.sends_total.inc({"cause": exchange.cause, "outcome": outcome})
+            metrics.sends_total.increment(exchange.cause, type(result).__name__)
             if not exchange.request.settled:
                 self._apply_result(exchange, result, now_ms)
             self._dispatch(now_ms)
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -135,13 +135,13 @@
         any_healthy = False
         for replica in self.list_usable(now_ms, tried):
             is_available = replica.has_free_slot(connection_limit)
-            if may_probe and is_available and replica.is_probe_due(now_ms):
+            slowness = replica.get_slowness(now_ms)
+            if may_probe and is_available and replica.is_probe_due(now_ms, slowness):
                 return replica
             if replica.is_stalled(now_ms):
                 if is_available:
                     stalled.append(replica)
                 continue
-            slowness = replica.get_slowness(now_ms)
             if slowness > SLOW_FACTOR:
                 if is_available:
                     slow.append(replica)
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -116,14 +116,19 @@
             case _:
                 return False
 
-    def is_probe_due(self, now_ms: float) -> bool:
-        """Returns whether the next request may probe if the upstream has recovered."""
+    def is_probe_due(self, now_ms: float, slowness: float) -> bool:
+        """Returns whether the next request may probe if the upstream has recovered.
+
+        Args:
+            now_ms: Monotonic time in milliseconds.
+            slowness: Result of `get_slowness` for that time.
+        """
         match self.evidence.state:
             case Ejected(until_ms=until_ms):
                 return now_ms >= until_ms
             case _:
-                slow = self.get_slowness(now_ms) > SLOW_FACTOR
-                return slow and now_ms - self.last_send_ms > SLOW_PROBE_MS
+                is_slow = slowness > SLOW_FACTOR
+                return is_slow and now_ms - self.last_send_ms > SLOW_PROBE_MS
 
     def get_slowness(self, now_ms: float) -> float:
         """Returns the expected duration of an exchange, in medians of its route."""
--- a/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
+++ b/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
@@ -108,9 +108,8 @@
             if self.reply is None:
                 raise MalformedReplyError(str(error)) from error
             self.has_excess = True
-        if self._problem and self.reply is None:
-            raise MalformedReplyError(self._problem)
-        self._check_limits()
+        if self.reply is None:
+            self._check_limits()
 
     def finish(self) -> None:
         """Ends the reply at the end of the connection.
@@ -125,8 +124,8 @@
         self._complete()
 
     def _check_limits(self) -> None:
-        if self.reply is not None:
-            return
+        if self._problem:
+            raise MalformedReplyError(self._problem)
         if not self._is_head_complete and self._head_bytes > HEAD_LIMIT_BYTES:
             raise MalformedReplyError("the head exceeds its size limit")
         if self._body_bytes > REPLY_LIMIT_BYTES:
@@ -145,22 +144,23 @@
         if self._is_head_complete:
             # Trailers are dropped.
             return
-        decoded = name.decode("latin-1").lower()
         if len(self._headers) >= HEADER_COUNT_LIMIT:
             self._problem = "too many headers"
             return
-        if decoded in FRAMING_HEADERS:
-            if decoded in self._framing:
-                self._problem = f"header {decoded} is repeated"
-            self._framing[decoded] = value.decode("latin-1").strip().lower()
-        self._headers.append((decoded, value.decode("latin-1").strip()))
+        decoded_name = name.decode("latin-1").lower()
+        decoded_value = value.decode("latin-1").strip()
+        if decoded_name in FRAMING_HEADERS:
+            if decoded_name in self._framing:
+                self._problem = f"header {decoded_name} is repeated"
+            self._framing[decoded_name] = decoded_value.lower()
+        self._headers.append((decoded_name, decoded_value))
 
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
-        if self.reply is not None or self._parser.get_status_code() < 200:
+        status = self._parser.get_status_code()
+        if self.reply is not None or status < 200:
             return
         self._is_head_complete = True
-        status = self._parser.get_status_code()
         coding = self._framing.get("transfer-encoding")
         has_body = status not in NO_BODY_STATUSES and self._method != "HEAD"
         if not self._parser.get_http_version().startswith("1."):
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,53 @@
+"""Counters that are kept in a plain table until they are rendered."""
+
+import threading
+
+from aioprometheus import REGISTRY, Counter
+
+from gooseberrymux import metrics
+from gooseberrymux.metrics import BufferedCounter
+
+THREADS = 4
+INCREMENTS = 500
+
+
+def create_counter(name):
+    counter = Counter(name, "A counter of a test.")
+    return counter, BufferedCounter(counter=counter, labels=("cause", "outcome"))
+
+
+def test_what_was_counted_is_added_once():
+    counter, buffered = create_counter("test_added_once_total")
+    for _ in range(3):
+        buffered.increment("first", "ok")
+    buffered.increment("hedge", "ok")
+    buffered.flush()
+    buffered.flush()
+    assert counter.get({"cause": "first", "outcome": "ok"}) == 3
+    assert counter.get({"cause": "hedge", "outcome": "ok"}) == 1
+    REGISTRY.deregister("test_added_once_total")
+
+
+def test_no_increment_of_several_threads_is_lost():
+    counter, buffered = create_counter("test_threads_total")
+
+    def count():
+        for number in range(INCREMENTS):
+            buffered.increment("first", "ok")
+            if number % 50 == 0:
+                buffered.flush()
+
+    threads = [threading.Thread(target=count) for _ in range(THREADS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    buffered.flush()
+    assert counter.get({"cause": "first", "outcome": "ok"}) == THREADS * INCREMENTS
+    REGISTRY.deregister("test_threads_total")
+
+
+def test_sends_are_rendered():
+    metrics.sends_total.increment("first", "Replied")
+    body, _ = metrics.render_metrics("")
+    assert b'gooseberrymux_sends_total{cause="first",outcome="Replied"}' in body
