Let answers that are being written end before a planned stop closes connections

Cause: after the drain the server shuts down all callers' connections.

Change: the server counts a connection as busy from the first byte of a request to its answer. At the end it begins no further request, shuts down idle connections, and gives busy ones 300 ms.

The test fails on the code before: its caller gets a closed connection instead of 200.

--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -8,6 +8,7 @@
 import io
 import re
 import socket
+import threading
 from collections.abc import Callable
 
 import cheroot.server
@@ -28,6 +29,9 @@
 LISTEN_BACKLOG = 512
 # Longest time until the accept loop notices that the server is stopping.
 STOP_CHECK_INTERVAL_S = 0.2
+# How long a planned stop waits for requests that are being read or answered after all
+# others have ended.
+ANSWER_TIMEOUT_MS = 300.0
 MAX_HEADERS = 128
 HEADER_NAME_PATTERN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
 CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
@@ -198,8 +202,13 @@
 
     def serve(self) -> None:
         """Serves requests until the caller or this server ends the connection."""
-        while self.wait_for_request() and self.communicate():
-            pass
+        while self.wait_for_request() and self.server.begin_request(self):
+            try:
+                keeps_open = self.communicate()
+            finally:
+                self.server.end_request(self)
+            if not keeps_open:
+                return
 
     def wait_for_request(self) -> bool:
         """Returns whether a request begins before the idle timeout.
@@ -258,6 +267,10 @@
         self._handle = handle
         self._get_limits = get_limits
         self._open_connections: set[CallerConnection] = set()
+        # Connections on which a request is being read, handled or answered.
+        self._busy_connections: set[CallerConnection] = set()
+        self._requests_changed = threading.Condition()
+        self._is_closing = False
 
     @property
     def limits(self) -> CallerLimits:
@@ -297,14 +310,52 @@
         """Logs a message of cheroot; its level and traceback are dropped."""
         journal.record_event("front.cheroot", message=msg)
 
+    def begin_request(self, conn: CallerConnection) -> bool:
+        """Records that a request is read from now on; False if it must not be."""
+        with self._requests_changed:
+            if self._is_closing:
+                return False
+            self._busy_connections.add(conn)
+            return True
+
+    def end_request(self, conn: CallerConnection) -> None:
+        """Records that a request was answered, or that its connection failed."""
+        with self._requests_changed:
+            self._busy_connections.discard(conn)
+            self._requests_changed.notify_all()
+
     def close_connections(self) -> None:
-        """Shuts down all connections, which ends their threads."""
-        for conn in list(self._open_connections):
-            try:
-                conn.socket.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                # The thread of the connection has closed the socket in the meantime.
-                continue
+        """Shuts down all connections, which ends their threads.
+
+        A request that is being read or answered has `ANSWER_TIMEOUT_MS` left to end.
+        One that was not begun is left unread, so that its caller can send it elsewhere.
+        """
+        with self._requests_changed:
+            self._is_closing = True
+            idle = self._open_connections - self._busy_connections
+        shut_down(idle)
+        self._wait_for_answers()
+        shut_down(self._open_connections - idle)
+
+    def _wait_for_answers(self) -> None:
+        clock = self._kernel.clock
+        deadline_ms = clock.now_ms() + ANSWER_TIMEOUT_MS
+        with self._requests_changed:
+            while self._busy_connections:
+                remaining_ms = deadline_ms - clock.now_ms()
+                if remaining_ms <= 0:
+                    return
+                clock.wait(self._requests_changed, remaining_ms)
+
+
+def shut_down(connections: set[CallerConnection]) -> None:
+    """Shuts down the sockets of connections."""
+    for conn in connections:
+        try:
+            conn.socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The thread of the connection has closed the socket in the meantime.
+            continue
 
 
 def read_headers(rfile) -> Headers:
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -274,8 +274,9 @@
         """
         self._changed.notify_all()
         if not self._has_thread and (opens_link or self._connection_number):
-            self._has_thread = True
             self.start_thread()
+            # Only now, so that the next call tries again if no thread can be started.
+            self._has_thread = True
 
     def mark_sent(self) -> None:
         """Records that the latest batch was sent, or reported as not sent."""
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers: ambiguous requests, limits, persistent connections."""
 
 import contextlib
+import threading
 
 import pytest
 
@@ -220,3 +221,61 @@
     assert caller.stream.readline() == b"content-length: 3\r\n"
     assert caller.stream.readline() == b"\r\n"
     assert caller.get()[0] == 200
+
+
+class BlockingHandler(RecordingHandler):
+    """Holds each request until the test lets it go on."""
+
+    def __init__(self):
+        super().__init__()
+        self.entered = threading.Event()
+        self.released = threading.Event()
+
+    def __call__(self, received):
+        self.entered.set()
+        self.released.wait(5)
+        return super().__call__(received)
+
+
+def test_a_stop_waits_for_an_answer_that_is_being_written():
+    # Guards against a request that was read just before the end of a planned stop and
+    # whose connection is closed without an answer.
+    handler = BlockingHandler()
+    with run_server(handler) as server:
+        caller = HttpCaller(server.bind_addr)
+        caller.send(POST + b"Content-Length: 2\r\n\r\nok")
+        assert handler.entered.wait(5)
+        stop = threading.Thread(target=server.close_connections)
+        stop.start()
+        handler.released.set()
+        assert caller.read()[::2] == (200, b"ok")
+        stop.join(5)
+        assert not stop.is_alive()
+        caller.close()
+
+
+def test_a_stop_ends_although_a_request_does_not(monkeypatch):
+    monkeypatch.setattr("gooseberrymux.caller_server.ANSWER_TIMEOUT_MS", 20.0)
+    handler = BlockingHandler()
+    with run_server(handler) as server:
+        caller = HttpCaller(server.bind_addr)
+        caller.send(POST + b"Content-Length: 2\r\n\r\nok")
+        assert handler.entered.wait(5)
+        server.close_connections()
+        assert caller.read()[0] is None
+        handler.released.set()
+        caller.close()
+
+
+def test_a_request_after_the_stop_is_not_begun():
+    # Guards against work that starts when its answer can't be delivered any more.
+    handler = RecordingHandler()
+    with run_server(handler) as server:
+        caller = HttpCaller(server.bind_addr)
+        assert caller.get()[0] == 200
+        server.close_connections()
+        with contextlib.suppress(OSError):
+            caller.send(POST + b"Content-Length: 0\r\n\r\n")
+        assert not caller.stream.read()
+        assert len(handler.received) == 1
+        caller.close()
