Give the errors of a reply one base class, and look for its id only if its proof repeats

Found in reading the whole change: three places listed the same two errors, and each reply was searched for the echoed id although the comparison of proofs decides first. Behaviour is the same; the tests of replies, connections, pools, links and query failures passed.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -35,12 +35,7 @@
 from gooseberrymux.forward_messages import ForwardCall
 from gooseberrymux.http_types import find_header
 from gooseberrymux.records import UpstreamRecord
-from gooseberrymux.reply_parser import (
-    MalformedReplyError,
-    ParsedReply,
-    ReplyParser,
-    TruncatedReplyError,
-)
+from gooseberrymux.reply_parser import ParsedReply, ReplyError, ReplyParser
 from gooseberrymux.settings import HeaderNames
 
 CONNECT_TIMEOUT_MS = 400.0
@@ -344,7 +339,7 @@
         parser = ReplyParser(method=exchange.call.method)
         try:
             reply = read_reply(sock, first, parser, self._buffer)
-        except (OSError, MalformedReplyError, TruncatedReplyError) as error:
+        except (OSError, ReplyError) as error:
             reason = REASON_ABORTED if exchange.aborted else classify_error(error)
             return Broken(reason=reason), False
         except Exception as error:
@@ -384,11 +379,12 @@
                 before, self._last_proof = self._last_proof, proof
             case _:
                 return False
-        has_id = find_header(reply.headers, self._names.request_id.lower()) is not None
-        is_repeated = proof == before and not has_id
-        if is_repeated:
-            metrics.dropped_total.inc({"reason": "repeated_reply"})
-        return is_repeated
+        if proof != before:
+            return False
+        if find_header(reply.headers, self._names.request_id.lower()) is not None:
+            return False
+        metrics.dropped_total.inc({"reason": "repeated_reply"})
+        return True
 
     def _finish_exchange(self, exchange: Exchange, result: Result) -> None:
         with self._condition:
--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -25,6 +25,7 @@
 from gooseberrymux.reply_parser import (
     REPLY_LIMIT_BYTES,
     MalformedReplyError,
+    ReplyError,
     ReplyParser,
     TruncatedReplyError,
 )
@@ -104,12 +105,7 @@
         try:
             self._send_request(request, deadline_ms)
             status, decoded = self._read_response(deadline_ms)
-        except (
-            OSError,
-            MalformedReplyError,
-            TruncatedReplyError,
-            urllib3.exceptions.HTTPError,
-        ) as e:
+        except (OSError, ReplyError, urllib3.exceptions.HTTPError) as e:
             if not self._bytes_written and self._clock.now_ms() >= deadline_ms:
                 return self._close_with_failure(subrequest, REASON_DEADLINE)
             return self._close_with_failure(subrequest, classify_error(e))
@@ -126,12 +122,7 @@
         try:
             self._send_request(request, deadline_ms)
             self._read_response(deadline_ms)
-        except (
-            OSError,
-            MalformedReplyError,
-            TruncatedReplyError,
-            urllib3.exceptions.HTTPError,
-        ):
+        except (OSError, ReplyError, urllib3.exceptions.HTTPError):
             self.close()
             return False
         except (ValueError, msgspec.MsgspecError, RecursionError):
--- a/packages/gooseberrymux/src/gooseberrymux/links.py
+++ b/packages/gooseberrymux/src/gooseberrymux/links.py
@@ -275,7 +275,7 @@
         self._changed.notify_all()
         if not self._has_thread and (opens_link or self._connection_number):
             self.start_thread()
-            # Only now, so that the next call tries again if no thread can be started.
+            # Set after the start, so that the next call tries again if it fails.
             self._has_thread = True
 
     def mark_sent(self) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
+++ b/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
@@ -23,11 +23,15 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
-class MalformedReplyError(Exception):
+class ReplyError(Exception):
+    """There is no usable reply on a connection."""
+
+
+class MalformedReplyError(ReplyError):
     """The bytes are not a valid reply, or exceed a limit."""
 
 
-class TruncatedReplyError(Exception):
+class TruncatedReplyError(ReplyError):
     """The connection ended before the reply was complete."""
 
 
