Log the rate limits that upstreams name, and what they are sent

A reply's signals are now parsed once, with the result of the exchange; the owner logs each change of a limit (upstream.rate_limit) and once a second what a limited upstream was sent (upstream.limited). What is sent does not change.

--- a/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
@@ -19,6 +19,7 @@
 )
 from gooseberrymux.reply_parser import ParsedReply
 from gooseberrymux.settings import HeaderNames
+from gooseberrymux.upstream_signals import NO_SIGNALS, UpstreamSignals, parse_signals
 
 REASON_SHED = "shed"
 REASON_OTHER_UPSTREAM = "other_upstream"
@@ -42,19 +43,29 @@
         reply: The reply, with its end-to-end headers.
         proof: Value of the reply's proof header, or empty.
         elapsed_ms: Milliseconds from the send to the complete reply.
+        signals: What the upstream says about its load.
     """
 
     reply: HttpReply
     proof: str
     elapsed_ms: float
+    signals: UpstreamSignals = NO_SIGNALS
 
 
 @_frozen
 class Declined:
-    """The upstream replied that it did not run the request."""
+    """The upstream replied that it did not run the request.
+
+    Attributes:
+        reason: Reason code.
+        elapsed_ms: Milliseconds from the send to the complete reply.
+        signals: What the upstream says about its load; None if another upstream
+            replied.
+    """
 
     reason: str
     elapsed_ms: float
+    signals: UpstreamSignals | None = None
 
 
 @_frozen
@@ -145,8 +156,9 @@
         return Broken(reason=REASON_FOREIGN)
     if received.status == STATUS_MISDIRECTED:
         return Declined(reason=REASON_OTHER_UPSTREAM, elapsed_ms=elapsed_ms)
+    signals = parse_signals(fields, names)
     if names.not_run.lower() in fields:
-        return Declined(reason=REASON_SHED, elapsed_ms=elapsed_ms)
+        return Declined(reason=REASON_SHED, elapsed_ms=elapsed_ms, signals=signals)
     proof = fields.get(names.proof.lower(), "")
     reply = HttpReply(
         status=received.status,
@@ -156,7 +168,7 @@
     if fields.get("content-encoding") or (reply.is_success and not proof):
         metrics.dropped_total.inc({"reason": "reply_without_proof"})
         return Broken(reason=REASON_MALFORMED)
-    return Replied(reply=reply, proof=proof, elapsed_ms=elapsed_ms)
+    return Replied(reply=reply, proof=proof, elapsed_ms=elapsed_ms, signals=signals)
 
 
 def parse_idle_limit_ms(fields: Headers) -> float:
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -5,6 +5,7 @@
 from gooseberrymux import forward_exchange, journal
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.exchange import REASON_DEADLINE
+from gooseberrymux.rate_limits import RateLimit
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.upstream_health import (
     SERVING,
@@ -18,6 +19,7 @@
     Shed,
     UpstreamHealth,
 )
+from gooseberrymux.upstream_signals import UpstreamSignals
 
 # An upstream counts as stalled if an exchange has lasted this many times the 95th
 # percentile of its route and no reply came from the upstream since the exchange began:
@@ -63,6 +65,7 @@
         idle: Open connections without an exchange.
         last_reply_ms: When the upstream last replied, in monotonic milliseconds.
         last_send_ms: When the last exchange started, in monotonic milliseconds.
+        rate_limit: The limit that the upstream names, or None if it names none.
     """
 
     __slots__ = (
@@ -72,6 +75,7 @@
         "idle",
         "last_reply_ms",
         "last_send_ms",
+        "rate_limit",
     )
 
     def __init__(self, *, record: UpstreamRecord):
@@ -81,6 +85,7 @@
         self.idle: list[Connection] = []
         self.last_reply_ms = 0.0
         self.last_send_ms = float("-inf")
+        self.rate_limit: RateLimit | None = None
 
     def has_free_slot(self, limit: int) -> bool:
         """Returns whether the upstream may run another exchange.
@@ -154,6 +159,8 @@
         """Records the start of an exchange, which is the probe if an ejection ended."""
         self.in_flight[exchange] = latency
         self.last_send_ms = now_ms
+        if self.rate_limit is not None:
+            self.rate_limit.record_send()
         match self.evidence.state:
             case Ejected(until_ms=until_ms, ejection_count=ejection_count) if (
                 now_ms >= until_ms
@@ -168,8 +175,13 @@
         """Records the result of an exchange and updates the state of the upstream."""
         latency = self.in_flight.pop(exchange)
         match result:
-            case forward_exchange.Replied() | forward_exchange.Declined():
+            case (
+                forward_exchange.Replied(signals=signals)
+                | forward_exchange.Declined(signals=signals)
+            ):
                 self.last_reply_ms = now_ms
+                if signals is not None:
+                    self._apply_signals(signals, now_ms)
         before = self.evidence.state
         observation = create_observation(exchange, result, latency, now_ms)
         self.evidence.observe(observation, now_ms)
@@ -194,6 +206,33 @@
                 self.evidence.state = SERVING
         self._record_change(type(before).__name__, observation, exchange)
 
+    def _apply_signals(self, signals: UpstreamSignals, now_ms: float) -> None:
+        """Updates the rate limit; a reply that names none ends the limit."""
+        before = self.rate_limit.rate_per_s if self.rate_limit else None
+        rate_per_s = signals.rate_limit_per_s
+        if rate_per_s is None:
+            self.rate_limit = None
+        elif self.rate_limit is None:
+            self.rate_limit = RateLimit(rate_per_s=rate_per_s, now_ms=now_ms)
+        else:
+            self.rate_limit.rate_per_s = rate_per_s
+        if rate_per_s != before:
+            journal.record_event(
+                "upstream.rate_limit",
+                upstream=self.record.name,
+                epoch=self.record.epoch,
+                before=before,
+                rate_per_s=rate_per_s,
+            )
+        if self.rate_limit and (report := self.rate_limit.take_report(now_ms)):
+            journal.record_event(
+                "upstream.limited",
+                upstream=self.record.name,
+                rate_per_s=report.rate_per_s,
+                sends=report.sends,
+                period_ms=round(report.period_ms),
+            )
+
     def _record_change(
         self, before: str, observation: Observation, exchange: Exchange
     ) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -173,6 +173,7 @@
         upstream: Upstream that replied.
         proof: Opaque proof of an upstream's reply.
         not_run: Present if the upstream did not run the request.
+        rate_limit: Requests a second that the upstream takes from all instances.
         part_proofs: Proofs of the replies that were merged into an answer.
         missing_parts: Number of shards that a merged answer leaves out.
     """
@@ -183,6 +184,7 @@
     upstream: Name = "X-Upstream"
     proof: Name = "X-Reply-Proof"
     not_run: Name = "X-Not-Run"
+    rate_limit: Name = "X-Rate-Limit"
     part_proofs: Name = "X-Part-Proofs"
     missing_parts: Name = "X-Parts-Missing"
 
