Send an upstream no more requests than the rate that it names

Cause: nothing read the limit. The class of fault is back-pressure of a dependency that is received and dropped.

Change: the owner of a service keeps a token bucket for each upstream that names a limit; first sends, hedges, retries and probes all take from it. A service has one owner, so no sum over instances is needed. What the limits leave no room for is refused at once as not run. Services refuse the same requests, by a place that follows from the request's id, so that fan-outs over several limited services stay complete; urgent ranks go first.

--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -22,6 +22,7 @@
 )
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel
+from gooseberrymux.load_shedding import LoadShedder
 from gooseberrymux.pending_requests import (
     REASON_NO_REPLICA,
     OutcomeCallback,
@@ -39,6 +40,7 @@
 REASON_DEADLINE = "deadline_unreachable"
 REASON_BUDGET = "extra_sends_used_up"
 REASON_LEAVING = "instance_leaving"
+REASON_RATE_LIMITED = "rate_limited"
 CAUSE_FIRST = "first"
 CAUSE_HEDGE = "hedge"
 CAUSE_RETRY = "retry"
@@ -58,6 +60,8 @@
 # first send, and too late to help with less than this left of the latency target.
 HEDGE_MIN_MEDIANS = 1.5
 HEDGE_RECHECK_MS = 5.0
+# Lower bound of the exchanges that run at a time, to divide by.
+MIN_PARALLEL = 0.01
 # Retry delay for callers, where no queue length gives an estimate.
 RETRY_AFTER_MS = 200.0
 
@@ -97,6 +101,9 @@
         "_queue",
         "_resend_queue",
         "_budget",
+        "_shedder",
+        "_usual_ms",
+        "_limit_ends_ms",
         "_requests",
         "_outbox",
     )
@@ -114,10 +121,15 @@
             inventory=dependencies.inventory,
             get_connection_limit=dependencies.get_connection_limit,
         )
+        policy = create_scheduling_policy(settings)
         self._queue = RankQueue(
-            policy=create_scheduling_policy(settings),
-            limits=dict.fromkeys(RANKS, forwarding.queue_limit),
+            policy=policy, limits=dict.fromkeys(RANKS, forwarding.queue_limit)
         )
+        self._shedder = LoadShedder(policy=policy)
+        # Usual duration of an exchange of the latest request.
+        self._usual_ms = 1.0
+        # When the timer is due that dispatches what waits for a rate limit.
+        self._limit_ends_ms = float("inf")
         # Requests to be sent again go before those in `_queue`, which were never sent.
         self._resend_queue: list[PendingRequest] = []
         self._budget = SlidingWindowBudget(
@@ -150,15 +162,19 @@
             if not call.dispatched_before:
                 self._budget.record_first_send(now_ms)
             self._replicas.refresh()
+            self._usual_ms = max(1.0, request.latency.median_ms)
+            self._shedder.record_arrival(call.rank, now_ms)
             has_waiting = self._resend_queue or len(self._queue)
             in_time = now_ms + request.latency.median_ms <= request.deadline_ms
-            if (
+            if self._is_shed(request, now_ms):
+                self._fail_request(request, REASON_RATE_LIMITED)
+            elif (
                 in_time
                 and not has_waiting
                 and self._send_to_best(request, CAUSE_FIRST, now_ms)
             ):
                 return
-            if reason := self._try_enqueue(request, now_ms):
+            elif reason := self._try_enqueue(request, now_ms):
                 self._fail_request(request, reason)
             else:
                 self._dispatch(now_ms)
@@ -223,8 +239,23 @@
         ahead = self._queue.estimate_dispatches_ahead(request.call.rank, prefer) + len(
             self._resend_queue
         )
-        slots = max(1, self._replicas.count_slots(now_ms))
-        return ahead * request.latency.median_ms / slots
+        return ahead * request.latency.median_ms / self._count_parallel(now_ms)
+
+    def _count_parallel(self, now_ms: float) -> float:
+        """Returns how many exchanges run at a time on average; above 0."""
+        return max(MIN_PARALLEL, self._replicas.count_parallel(self._usual_ms, now_ms))
+
+    def _is_shed(self, request: PendingRequest, now_ms: float) -> bool:
+        """Returns whether a request exceeds what limited upstreams take together."""
+        if not self._replicas.is_rate_limited(now_ms):
+            return False
+        parallel = self._replicas.count_parallel(self._usual_ms, now_ms)
+        return self._shedder.is_shed(
+            request_id=request.call.request_id,
+            rank=request.call.rank,
+            capacity_per_s=parallel * MS_PER_S / self._usual_ms,
+            now_ms=now_ms,
+        )
 
     def _dispatch(self, now_ms: float) -> None:
         """Sends waiting requests while upstreams are free; requires the lock."""
@@ -248,6 +279,23 @@
                 # The choice for this request may also be a probe of a slow upstream.
                 chosen = self._choose_upstream(request, now_ms) or replica
                 self._send(request, chosen, CAUSE_FIRST, now_ms)
+        if len(self._queue) or self._resend_queue:
+            self._schedule_dispatch(now_ms)
+
+    def _schedule_dispatch(self, now_ms: float) -> None:
+        """Dispatches again when a rate limit allows a further send."""
+        wait_ms = self._replicas.get_limit_wait_ms(now_ms)
+        if wait_ms is not None and now_ms + wait_ms < self._limit_ends_ms:
+            self._limit_ends_ms = now_ms + wait_ms
+            self._dependencies.timers.call_at(
+                self._limit_ends_ms, self._handle_limit_end
+            )
+
+    def _handle_limit_end(self) -> None:
+        with self._lock:
+            self._limit_ends_ms = float("inf")
+            self._dispatch(self._clock.now_ms())
+        self._deliver_outcomes()
 
     def _try_resend(self, request: PendingRequest, now_ms: float) -> bool:
         """Sends or fails a request that waits to be sent again; False if it stays."""
@@ -270,7 +318,7 @@
         """Returns the best free upstream for a request, or for any if it is None."""
         wait_medians = 0.0
         if waiting := len(self._queue) + len(self._resend_queue):
-            wait_medians = waiting / max(1, self._replicas.count_slots(now_ms))
+            wait_medians = waiting / self._count_parallel(now_ms)
         return self._replicas.choose(
             tried=request.tried_upstreams if request else (),
             may_probe=request is not None and request.call.repeatable,
--- a/packages/gooseberrymux/src/gooseberrymux/rate_limits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/rate_limits.py
@@ -1,7 +1,20 @@
-"""Rate limit that an upstream names, and the requests that its owner sends there."""
+"""Rate limit that an upstream names, kept by the owner of the upstream."""
 
 import dataclasses
 
+from gooseberrymux import journal
+from gooseberrymux.clock import MS_PER_S
+from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.upstream_signals import UpstreamSignals
+
+# Tokens that a bucket holds at most, as the time in which they accrue. The limit is in
+# requests a second, so an upstream may get those of one second at once.
+BURST_MS = 1_000.0
+# An upstream that takes nothing still gets a request from time to time, as only a reply
+# can end its limit.
+MIN_RATE_PER_S = 0.5
+# Tokens accrue in floating point; a bucket that lacks less than this is full enough.
+TOKEN_TOLERANCE = 1e-6
 # A limited upstream gets one log line for each period, however many requests it gets.
 REPORT_PERIOD_MS = 1_000.0
 
@@ -22,23 +35,52 @@
 
 
 class RateLimit:
-    """The limit of one upstream, from the reply that first named it.
+    """Token bucket for the requests to one upstream that names a limit.
 
-    Not thread-safe: the owner holds its lock around each call.
+    The bucket starts empty: until the reply that named the limit, the upstream got
+    requests without one.
 
-    Attributes:
-        rate_per_s: Requests a second that the upstream takes from all instances.
+    Not thread-safe: the owner holds its lock around each call. Times are monotonic
+    milliseconds.
     """
 
-    __slots__ = ("rate_per_s", "_sends", "_reported_ms")
+    __slots__ = ("_rate_per_s", "_tokens", "_refilled_ms", "_sends", "_reported_ms")
 
     def __init__(self, *, rate_per_s: float, now_ms: float):
-        self.rate_per_s = rate_per_s
+        self._rate_per_s = rate_per_s
+        self._tokens = 0.0
+        self._refilled_ms = now_ms
         self._sends = 0
         self._reported_ms = now_ms
 
-    def record_send(self) -> None:
-        """Counts a request that is sent."""
+    @property
+    def rate_per_s(self) -> float:
+        """Requests a second that the upstream takes from all instances."""
+        return self._rate_per_s
+
+    @property
+    def allowed_per_s(self) -> float:
+        """Requests a second that the upstream gets."""
+        return max(MIN_RATE_PER_S, self._rate_per_s)
+
+    def set_rate(self, rate_per_s: float, now_ms: float) -> None:
+        """Replaces the limit; tokens accrue at the new rate from now on."""
+        self._refill(now_ms)
+        self._rate_per_s = rate_per_s
+        self._tokens = min(self._tokens, self._capacity)
+
+    def get_wait_ms(self, now_ms: float) -> float:
+        """Returns the time in milliseconds until a request may be sent; 0 for now."""
+        self._refill(now_ms)
+        missing = 1.0 - self._tokens
+        if missing <= TOKEN_TOLERANCE:
+            return 0.0
+        return missing * MS_PER_S / self.allowed_per_s
+
+    def record_send(self, now_ms: float) -> None:
+        """Takes the token of a request that is sent."""
+        self._refill(now_ms)
+        self._tokens -= 1.0
         self._sends += 1
 
     def take_report(self, now_ms: float) -> LimitReport | None:
@@ -47,7 +89,58 @@
         if period_ms < REPORT_PERIOD_MS:
             return None
         report = LimitReport(
-            rate_per_s=self.rate_per_s, sends=self._sends, period_ms=period_ms
+            rate_per_s=self._rate_per_s, sends=self._sends, period_ms=period_ms
         )
         self._sends, self._reported_ms = 0, now_ms
         return report
+
+    @property
+    def _capacity(self) -> float:
+        return max(1.0, self.allowed_per_s * BURST_MS / MS_PER_S)
+
+    def _refill(self, now_ms: float) -> None:
+        accrued = (now_ms - self._refilled_ms) / MS_PER_S * self.allowed_per_s
+        self._tokens = min(self._capacity, self._tokens + accrued)
+        self._refilled_ms = now_ms
+
+
+def update_rate_limit(
+    limit: RateLimit | None,
+    signals: UpstreamSignals,
+    *,
+    record: UpstreamRecord,
+    now_ms: float,
+) -> RateLimit | None:
+    """Returns the limit of an upstream after a reply, and logs what changed.
+
+    Args:
+        limit: The limit before the reply; None if the upstream had none.
+        signals: Signals of the reply. A reply that names no limit ends it.
+        record: The upstream.
+        now_ms: Monotonic time in milliseconds.
+    """
+    before = limit.rate_per_s if limit else None
+    rate_per_s = signals.rate_limit_per_s
+    if rate_per_s is None:
+        limit = None
+    elif limit is None:
+        limit = RateLimit(rate_per_s=rate_per_s, now_ms=now_ms)
+    else:
+        limit.set_rate(rate_per_s, now_ms)
+    if rate_per_s != before:
+        journal.record_event(
+            "upstream.rate_limit",
+            upstream=record.name,
+            epoch=record.epoch,
+            before=before,
+            rate_per_s=rate_per_s,
+        )
+    if limit and (report := limit.take_report(now_ms)):
+        journal.record_event(
+            "upstream.limited",
+            upstream=record.name,
+            rate_per_s=report.rate_per_s,
+            sends=report.sends,
+            period_ms=round(report.period_ms),
+        )
+    return limit
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -105,9 +105,33 @@
             and not is_leaving(replica.record)
         ]
 
-    def count_slots(self, now_ms: float) -> int:
-        """Returns the total slots of all usable upstreams, free or not."""
-        return sum(replica.record.slots for replica in self.list_usable(now_ms))
+    def count_parallel(self, median_ms: float, now_ms: float) -> float:
+        """Returns how many exchanges the usable upstreams run at a time on average.
+
+        Args:
+            median_ms: Usual duration of an exchange; with it a rate limit tells how
+                many slots it leaves.
+            now_ms: Monotonic time in milliseconds.
+        """
+        return sum(
+            replica.count_parallel(median_ms) for replica in self.list_usable(now_ms)
+        )
+
+    def is_rate_limited(self, now_ms: float) -> bool:
+        """Returns whether a usable upstream names a rate limit."""
+        return any(replica.rate_limit for replica in self.list_usable(now_ms))
+
+    def get_limit_wait_ms(self, now_ms: float) -> float | None:
+        """Returns the time in milliseconds until a rate limit allows a further send.
+
+        None if no usable upstream with a free slot waits for its limit.
+        """
+        waits_ms = [
+            replica.get_limit_wait_ms(now_ms)
+            for replica in self.list_usable(now_ms)
+            if replica.rate_limit and replica.has_free_slot(self._connection_limit)
+        ]
+        return min((wait_ms for wait_ms in waits_ms if wait_ms > 0.0), default=None)
 
     def choose(
         self,
@@ -134,7 +158,10 @@
         stalled: list[Replica] = []
         any_healthy = False
         for replica in self.list_usable(now_ms, tried):
-            is_available = replica.has_free_slot(connection_limit)
+            is_available = (
+                replica.has_free_slot(connection_limit)
+                and replica.get_limit_wait_ms(now_ms) == 0.0
+            )
             slowness = replica.get_slowness(now_ms)
             if may_probe and is_available and replica.is_probe_due(now_ms, slowness):
                 return replica
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -3,9 +3,10 @@
 import dataclasses
 
 from gooseberrymux import forward_exchange, journal
+from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.exchange import REASON_DEADLINE
-from gooseberrymux.rate_limits import RateLimit
+from gooseberrymux.rate_limits import RateLimit, update_rate_limit
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.upstream_health import (
     SERVING,
@@ -19,7 +20,6 @@
     Shed,
     UpstreamHealth,
 )
-from gooseberrymux.upstream_signals import UpstreamSignals
 
 # An upstream counts as stalled if an exchange has lasted this many times the 95th
 # percentile of its route and no reply came from the upstream since the exchange began:
@@ -88,13 +88,28 @@
         self.rate_limit: RateLimit | None = None
 
     def has_free_slot(self, limit: int) -> bool:
-        """Returns whether the upstream may run another exchange.
+        """Returns whether the upstream could run another exchange.
 
         Args:
             limit: Connections that the upstream accepts.
         """
         return len(self.in_flight) < min(self.record.slots, limit)
 
+    def get_limit_wait_ms(self, now_ms: float) -> float:
+        """Returns how long the rate limit forbids a send, in milliseconds; 0 if not."""
+        return self.rate_limit.get_wait_ms(now_ms) if self.rate_limit else 0.0
+
+    def count_parallel(self, median_ms: float) -> float:
+        """Returns how many exchanges the upstream runs at a time on average.
+
+        Args:
+            median_ms: Usual duration of an exchange.
+        """
+        slots = float(self.record.slots)
+        if self.rate_limit is None:
+            return slots
+        return min(slots, self.rate_limit.allowed_per_s * median_ms / MS_PER_S)
+
     def close_idle(self) -> None:
         """Closes the connections without an exchange."""
         for connection in self.idle:
@@ -160,7 +175,7 @@
         self.in_flight[exchange] = latency
         self.last_send_ms = now_ms
         if self.rate_limit is not None:
-            self.rate_limit.record_send()
+            self.rate_limit.record_send(now_ms)
         match self.evidence.state:
             case Ejected(until_ms=until_ms, ejection_count=ejection_count) if (
                 now_ms >= until_ms
@@ -181,7 +196,9 @@
             ):
                 self.last_reply_ms = now_ms
                 if signals is not None:
-                    self._apply_signals(signals, now_ms)
+                    self.rate_limit = update_rate_limit(
+                        self.rate_limit, signals, record=self.record, now_ms=now_ms
+                    )
         before = self.evidence.state
         observation = create_observation(exchange, result, latency, now_ms)
         self.evidence.observe(observation, now_ms)
@@ -206,33 +223,6 @@
                 self.evidence.state = SERVING
         self._record_change(type(before).__name__, observation, exchange)
 
-    def _apply_signals(self, signals: UpstreamSignals, now_ms: float) -> None:
-        """Updates the rate limit; a reply that names none ends the limit."""
-        before = self.rate_limit.rate_per_s if self.rate_limit else None
-        rate_per_s = signals.rate_limit_per_s
-        if rate_per_s is None:
-            self.rate_limit = None
-        elif self.rate_limit is None:
-            self.rate_limit = RateLimit(rate_per_s=rate_per_s, now_ms=now_ms)
-        else:
-            self.rate_limit.rate_per_s = rate_per_s
-        if rate_per_s != before:
-            journal.record_event(
-                "upstream.rate_limit",
-                upstream=self.record.name,
-                epoch=self.record.epoch,
-                before=before,
-                rate_per_s=rate_per_s,
-            )
-        if self.rate_limit and (report := self.rate_limit.take_report(now_ms)):
-            journal.record_event(
-                "upstream.limited",
-                upstream=self.record.name,
-                rate_per_s=report.rate_per_s,
-                sends=report.sends,
-                period_ms=round(report.period_ms),
-            )
-
     def _record_change(
         self, before: str, observation: Observation, exchange: Exchange
     ) -> None:
