--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -29,6 +29,8 @@
     ReplyParser,
     TruncatedReplyError,
 )
+from gooseberrymux.settings import HeaderNames
+from gooseberrymux.upstream_signals import UpstreamSignals, parse_signals
 
 REASON_CONNECT = "connect_failed"
 REASON_DEADLINE = "deadline_unreachable"
@@ -47,6 +49,8 @@
 # connection.
 ORDER_IDLE_LIMIT_MS = 2_000
 
+# Header names of the product's own protocol; the gateway's are settings.
+HEADER_NAMES = HeaderNames()
 NODELAY_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
 
 _encoder = msgspec.json.Encoder()
@@ -57,10 +61,16 @@
     """A keep-alive connection to one upstream, opened on demand.
 
     Not thread-safe: only one thread may use it at a time.
+
+    Attributes:
+        record: The upstream.
+        signals: What the upstream said about its load in the reply to the last
+            request; None if there was no reply.
     """
 
     __slots__ = (
         "record",
+        "signals",
         "_clock",
         "_socket",
         "_host_header",
@@ -70,6 +80,7 @@
 
     def __init__(self, *, record: UpstreamRecord, clock: Clock):
         self.record = record
+        self.signals: UpstreamSignals | None = None
         self._clock = clock
         self._socket: socket.socket | None = None
         self._host_header = f"Host: {record.host}:{record.port}\r\n"
@@ -91,6 +102,7 @@
         """
         started_ms = self._clock.now_ms()
         self._bytes_written = 0
+        self.signals = None
         if (
             subrequest.order_key
             and started_ms - self._last_used_ms > ORDER_IDLE_LIMIT_MS
@@ -205,6 +217,7 @@
         if reply.closes_connection or parser.has_excess:
             self.close()
         self._last_used_ms = self._clock.now_ms()
+        self.signals = parse_signals(dict(reversed(reply.headers)), HEADER_NAMES)
         return reply.status, _decoder.decode(reply.body)
 
     def _create_outcome(
@@ -212,6 +225,7 @@
     ) -> SubrequestOutcome:
         if decoded.get("request_id") != subrequest.id:
             metrics.dropped_total.inc({"reason": "foreign_reply"})
+            self.signals = None
             return self._close_with_failure(subrequest, REASON_MALFORMED)
         match extract_reply(status, decoded):
             case Ok(reply):
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -9,6 +9,7 @@
 
 from gooseberrymux import journal, metrics
 from gooseberrymux.canceller import Canceller
+from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
 from gooseberrymux.exchange import REASON_DEADLINE, SubrequestConnection
 from gooseberrymux.kernel import Kernel
@@ -19,6 +20,7 @@
     SubrequestOutcome,
     SubrequestUnknown,
 )
+from gooseberrymux.rate_limits import RateLimit, update_rate_limit
 from gooseberrymux.records import Rank, UpstreamRecord
 from gooseberrymux.schedule import RANKS, RankQueue, create_scheduling_policy
 
@@ -131,6 +133,7 @@
         "_service_time_ms",
         "_service_time_updated_ms",
         "_last_used_ms",
+        "_rate_limit",
         "_canceller",
         "_on_closed",
     )
@@ -166,6 +169,7 @@
         self._service_time_ms = 0.0
         self._service_time_updated_ms = float("-inf")
         self._last_used_ms = kernel.clock.now_ms()
+        self._rate_limit: RateLimit | None = None
         self._canceller = Canceller(
             kernel=kernel,
             get_record=lambda: self.record,
@@ -192,7 +196,10 @@
         Each worker applies the new record before it runs its next item, and reconnects
         if the address or the epoch changed.
         """
-        self.record = record
+        with self._lock:
+            if record.epoch != self.record.epoch:
+                self._rate_limit = None
+            self.record = record
         self.start()
 
     def enqueue(self, item: QueuedItem) -> EnqueueResult:
@@ -309,14 +316,24 @@
                     # The new record allows fewer connections, so this worker ends.
                     self._worker_count = min(self._worker_count, worker_index)
                     return None
+                now_ms = self._kernel.clock.now_ms()
+                wait_ms = self._get_limit_wait_ms(now_ms)
+                if wait_ms > 0.0 and len(self._queue):
+                    self._kernel.clock.wait(self._changed, wait_ms)
+                    continue
                 item = self._queue.dequeue()
                 if item is not None:
+                    if self._rate_limit is not None and now_ms < item.deadline_ms:
+                        self._rate_limit.record_send(now_ms)
                     self._running[item.subrequest.id] = item
                     self._unanswered_count += 1
                     return item
                 if not self._kernel.clock.wait(self._changed, POOL_IDLE_TIMEOUT_MS):
                     self._close_if_idle()
 
+    def _get_limit_wait_ms(self, now_ms: float) -> float:
+        return self._rate_limit.get_wait_ms(now_ms) if self._rate_limit else 0.0
+
     def _close_if_idle(self) -> None:
         idle_ms = self._kernel.clock.now_ms() - self._last_used_ms
         if (
@@ -338,6 +355,7 @@
             return create_not_run(item.subrequest, REASON_UPSTREAM_LEAVING, record.name)
         try:
             outcome = connection.run(item.subrequest, item.deadline_ms)
+            self._apply_signals(connection)
             match outcome:
                 case SubrequestNotRun(reason=reason) if reason == REASON_DRAINING:
                     self._departures.report_leaving(
@@ -360,6 +378,17 @@
                 peer=self.record.name,
             )
 
+    def _apply_signals(self, connection: SubrequestConnection) -> None:
+        if connection.signals is None:
+            return
+        with self._lock:
+            self._rate_limit = update_rate_limit(
+                self._rate_limit,
+                connection.signals,
+                record=connection.record,
+                now_ms=self._kernel.clock.now_ms(),
+            )
+
     def _finish_item(
         self, item: QueuedItem, outcome: SubrequestOutcome
     ) -> SubrequestOutcome:
@@ -390,7 +419,13 @@
         self._service_time_updated_ms = now_ms
 
     def _estimate_wait_ms(self, rank: Rank, now_ms: float) -> float:
-        """Estimates how long a new item of `rank` would wait for a connection."""
+        """Estimates how long a new item of `rank` would wait to be sent."""
+        if self._rate_limit is not None:
+            ahead = self._queue.estimate_dispatches_ahead(rank)
+            return (
+                self._rate_limit.get_wait_ms(now_ms)
+                + ahead * MS_PER_S / self._rate_limit.allowed_per_s
+            )
         if len(self._running) < self._connection_limit and not len(self._queue):
             return 0.0
         if now_ms - self._service_time_updated_ms > MAX_ESTIMATE_AGE_MS:
--- a/packages/gooseberrystand/src/gooseberrystand/execution.py
+++ b/packages/gooseberrystand/src/gooseberrystand/execution.py
@@ -36,6 +36,8 @@
         cold_requests: Number of requests after the start that run slower.
         cold_factor: Factor on the service time of these requests.
         draining: Whether new requests are refused as draining.
+        rate_limit_per_s: Requests a second that replies name as the limit for all
+            instances together; 0 to name none. Requests over it are served.
         versions: Shards of each index version served; `*` means all shards.
         health_lag_ms: Age in milliseconds of the state and load that the health
             endpoint reports.
@@ -61,6 +63,7 @@
     cold_requests: int = 0
     cold_factor: float = 5.0
     draining: bool = False
+    rate_limit_per_s: float = 0.0
     versions: dict = dataclasses.field(default_factory=lambda: {"v1": ANY_SHARD})
     health_lag_ms: float = 0.0
     health_lie: dict = dataclasses.field(default_factory=dict)
--- a/packages/gooseberrystand/src/gooseberrystand/upstream.py
+++ b/packages/gooseberrystand/src/gooseberrystand/upstream.py
@@ -30,6 +30,7 @@
     serve,
 )
 
+RATE_LIMIT_HEADER = "X-Rate-Limit"
 FOREIGN_REQUEST_ID = "foreign-request"
 
 
@@ -267,6 +268,7 @@
 
     def _inject_faults(self, reply: JsonReply) -> Reply:
         """Applies pending faults to a reply: a delay, and at most one other fault."""
+        reply = self._add_signals(reply)
         if self._consume_fault("delay"):
             self._clock.sleep_ms(self._behaviour.delay_ms)
         if self._consume_fault("drop"):
@@ -280,6 +282,13 @@
             return dataclasses.replace(reply, body=body)
         return reply
 
+    def _add_signals(self, reply: JsonReply) -> JsonReply:
+        rate_limit_per_s = self._behaviour.rate_limit_per_s
+        if not rate_limit_per_s:
+            return reply
+        headers = {**reply.headers, RATE_LIMIT_HEADER: f"{rate_limit_per_s:g}"}
+        return dataclasses.replace(reply, headers=headers)
+
     def _consume_fault(self, fault: str) -> bool:
         """Counts a pending fault down; returns whether one was pending."""
         with self._lock:
