Log that the platform went back, and copies that count as older

A store that is restored from a copy names its era in all answers. The platform client reads it and logs platform.restored when it rises; a copy of a document from the platform that is dropped as older leaves documents.older_copy. Before, the logs could not tell a change that never arrived from one that was dropped. What is in force does not change.

--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -226,6 +226,7 @@
                 case Outdated():
                     if source == "platform":
                         self._table.resolve_problem(document)
+                        self._record_older_copy(document)
                     return False
                 case HashConflict(losing_hash=losing_hash):
                     self._report_conflict(document, losing_hash, source)
@@ -242,6 +243,17 @@
         self._push(document, source)
         return True
 
+    def _record_older_copy(self, document: DocumentBody) -> None:
+        """Logs that the platform has an older copy than the one in force here."""
+        known = self._table.get(document.name)
+        if known is not None and known.generation > document.generation:
+            journal.record_event(
+                "documents.older_copy",
+                document=document.name,
+                in_force=known.generation,
+                found=document.generation,
+            )
+
     def _publish_change(self, document: DocumentBody, source: str) -> None:
         metrics.generation.set({"document": document.name}, document.generation)
         journal.record_event(
--- a/packages/gooseberrymux/src/gooseberrymux/platform.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform.py
@@ -35,6 +35,8 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3_000),
 ]
+# Digits of an era at most; a longer number is no era.
+ERA_DIGITS_LIMIT = 9
 # The platform no longer has the changes since the revision that a watch starts from.
 STATUS_GONE = 410
 # With these statuses the platform refuses a call before it runs the call.
@@ -110,6 +112,20 @@
     malformed: tuple[MalformedObject, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformAnswer:
+    """The body of a response of the object API, and the era of the platform.
+
+    Attributes:
+        era: How often the platform has gone back to an earlier state. Revisions and
+            versions of different eras can't be compared.
+        body: The decoded body.
+    """
+
+    era: int
+    body: dict
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Call:
     """HTTP request of one call of the object API, with its timeout."""
@@ -130,8 +146,12 @@
     timeout and are then refused. Watches don't count towards this limit.
     """
 
+    # Header of all responses with the platform's era; without it the era is 0.
+    ERA_HEADER = "X-Platform-Era"
+
     __slots__ = (
         "_kernel",
+        "_era",
         "_http",
         "_url",
         "_counts",
@@ -142,6 +162,8 @@
 
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
+        # The highest era that a response has named; None before the first response.
+        self._era: int | None = None
         settings = kernel.settings.platform
         self._url = settings.url.rstrip("/")
         self._http = urllib3.PoolManager(
@@ -180,7 +202,12 @@
             path=f"/objects/{quote(name)}",
             timeout_ms=self._kernel.settings.platform.timeout_ms,
         )
-        return self._run(call).and_then(decode_object).and_then(create_name_check(name))
+        return (
+            self._run(call)
+            .map(get_body)
+            .and_then(decode_object)
+            .and_then(create_name_check(name))
+        )
 
     def put(
         self, *, name: str, value: dict, expected_version: int
@@ -211,7 +238,7 @@
             body=body,
             timeout_ms=self._kernel.settings.platform.timeout_ms,
         )
-        return self._run(call).and_then(decode_put_result)
+        return self._run(call).map(get_body).and_then(decode_put_result)
 
     def list_objects(self, prefix: str) -> Result[WatchedChanges, PlatformError]:
         """Reads all objects whose name starts with `prefix`."""
@@ -222,7 +249,7 @@
             fields={"prefix": prefix},
             timeout_ms=self._kernel.settings.platform.timeout_ms,
         )
-        return self._run(call).and_then(decode_changes)
+        return self._run(call).map(get_body).and_then(decode_changes)
 
     def watch(
         self, *, prefix: str, revision: int
@@ -243,9 +270,9 @@
             },
             timeout_ms=timeout_ms + WATCH_MARGIN_MS,
         )
-        return self._run(call).and_then(decode_changes)
+        return self._run(call).map(get_body).and_then(decode_changes)
 
-    def _run(self, call: Call) -> Result[dict, PlatformError]:
+    def _run(self, call: Call) -> Result[PlatformAnswer, PlatformError]:
         if not self._acquire_call_slot(call):
             self._count(call, "refused")
             return Err(
@@ -262,7 +289,7 @@
         return result
 
     def _record_availability(
-        self, call: Call, result: Result[dict, PlatformError]
+        self, call: Call, result: Result[PlatformAnswer, PlatformError]
     ) -> None:
         with self._slot_released:
             previous_succeeded, self._last_call_succeeded = (
@@ -307,7 +334,7 @@
             self._counts[key] = self._counts.get(key, 0) + 1
         metrics.platform_calls_total.inc({"kind": call.kind, "outcome": outcome})
 
-    def _exchange(self, call: Call) -> Result[dict, PlatformError]:
+    def _exchange(self, call: Call) -> Result[PlatformAnswer, PlatformError]:
         try:
             response = self._http.request(
                 call.method,
@@ -348,7 +375,7 @@
 
     def _read_response(
         self, call: Call, response: urllib3.BaseHTTPResponse
-    ) -> Result[dict, PlatformError]:
+    ) -> Result[PlatformAnswer, PlatformError]:
         # The socket timeout applies to each read alone; this deadline also bounds a
         # response that arrives in many small pieces.
         deadline_ms = self._kernel.clock.now_ms() + call.timeout_ms
@@ -379,7 +406,31 @@
                     call, f"unexpected response with status {response.status}"
                 )
             )
-        return Ok(body)
+        return Ok(PlatformAnswer(era=self._record_era(response), body=body))
+
+    def _record_era(self, response: urllib3.BaseHTTPResponse) -> int:
+        """Returns the era that a response names, and logs that the platform went back.
+
+        A response without a readable era counts as one of the highest era known.
+        """
+        value = response.headers.get(self.ERA_HEADER, "")
+        with self._slot_released:
+            before = self._era
+            era = int(value) if is_era(value) else before or 0
+            self._era = max(era, before or 0)
+        if before is not None and era > before:
+            journal.record_event("platform.restored", before=before, era=era)
+        return era
+
+
+def is_era(value: str) -> bool:
+    """Returns whether a header's value is an era."""
+    return value.isascii() and value.isdecimal() and len(value) <= ERA_DIGITS_LIMIT
+
+
+def get_body(answer: PlatformAnswer) -> dict:
+    """Returns the body of an answer."""
+    return answer.body
 
 
 def encode_put_body(*, value: dict, expected_version: int) -> bytes:
