--- a/tests/machines/fake_store.py
+++ b/tests/machines/fake_store.py
@@ -16,6 +16,7 @@
     create_error,
 )
 
+ERA_HEADER = "Store-Era"
 OBJECTS_PREFIX = "/-/objects/"
 PAGE_SIZE = 50
 MAX_WAIT_MS = 30_000
@@ -47,12 +48,28 @@
     is_deleted: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """A copy of the store's state, from which it can be restored."""
+
+    objects: dict[tuple[str, str], dict]
+    events: list[StoreEvent]
+    revision: int
+
+
 class FakeStore:
-    """HTTP server of objects that share one revision counter and a history."""
+    """HTTP server of objects that share one revision counter and a history.
+
+    Attributes:
+        faults: Faults in force.
+        calls: All calls so far.
+        era: How often the store was restored from a copy; named in all answers.
+    """
 
     __slots__ = (
         "faults",
         "calls",
+        "era",
         "_clock",
         "_objects",
         "_events",
@@ -65,6 +82,7 @@
     def __init__(self):
         self.faults = StoreFaults()
         self.calls: list[Call] = []
+        self.era = 0
         self._clock = Clock()
         self._objects: dict[tuple[str, str], dict] = {}
         self._events: list[StoreEvent] = []
@@ -108,6 +126,24 @@
             self._oldest_revision = self._revision
             self._changed.notify_all()
 
+    def take_copy(self) -> StoreCopy:
+        """Returns a copy of the present state."""
+        with self._changed:
+            return StoreCopy(
+                objects=dict(self._objects),
+                events=list(self._events),
+                revision=self._revision,
+            )
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Goes back to a copy; revisions since are given out again."""
+        with self._changed:
+            self._objects = dict(copy.objects)
+            self._events = list(copy.events)
+            self._revision = copy.revision
+            self.era += 1
+            self._changed.notify_all()
+
     # Methods that `Listener` calls.
 
     def accept_connection(self) -> bool:
@@ -126,6 +162,14 @@
 
     def handle(self, call: Call) -> Reply:
         """Handles a call of the object API, unless a fault is set."""
+        match self._handle_call(call):
+            case JsonReply(headers=headers) as reply:
+                headers = {**headers, ERA_HEADER: str(self.era)}
+                return dataclasses.replace(reply, headers=headers)
+            case reply:
+                return reply
+
+    def _handle_call(self, call: Call) -> Reply:
         self.calls.append(call)
         with self._changed:
             while self.faults.silent:
@@ -164,10 +208,8 @@
         wait_ms = min(MAX_WAIT_MS, int(call.query_parameters.get("waitMs", "0")))
         deadline_ms = self._clock.now_ms() + wait_ms
         while True:
-            if start_revision < self._oldest_revision:
-                return create_error(
-                    410, "gone", "the history since this revision was dropped"
-                )
+            if not self._oldest_revision <= start_revision <= self._revision:
+                return create_error(410, "gone", "this revision is not in the history")
             events = [
                 {"object": event.item, "tombstone": event.is_deleted}
                 for event in self._events
