Order the list of upstreams by the platform's era before its revision

Cause: the generation of the list is the store's revision. A store that is restored from a copy gives its revisions out again, so each later list counted as older until the revisions had caught up. The class of fault is a version number of an outside system taken as monotonic.

Change: a list's generation holds the era above the revision, and a watch whose answer has another era lists everything again, since the new history may have passed its revision. Upstreams that the first list of an era lacks hold for two seconds, the time that entries take to be written again. Routes stay ordered by the operator's version, so a copy never brings older ones back.

--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -25,6 +25,7 @@
     hash_body,
     limit_bodies,
 )
+from gooseberrymux.eras import combine_era
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import MemberChanged, Membership
@@ -36,7 +37,7 @@
     DocumentRequest,
 )
 from gooseberrymux.peers import Peers
-from gooseberrymux.platform import Platform, PlatformObject, WatchedChanges
+from gooseberrymux.platform import Platform, WatchedChanges
 from gooseberrymux.platform_watch import PlatformWatch
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.watcher_selection import WatcherSelection
@@ -146,7 +147,8 @@
                 with peers are more frequent until it is known here.
             compare_content: Ignore a platform object whose content other than the
                 generation is unchanged, for prefixes whose generation is only a
-                position in the platform's change history.
+                position in the platform's change history. The generation in force
+                then also holds the platform's era; see `eras`.
         """
         if compare_content:
             self._content_compared_prefixes.append(prefix)
@@ -176,15 +178,28 @@
         """Returns name, generation and hash of each current document."""
         return [create_digest(document) for document in self._table.list_documents()]
 
-    def apply_body(self, *, name: str, body: dict, source: str) -> bool:
+    def apply_body(self, *, name: str, body: dict, source: str, era: int = 0) -> bool:
         """Applies the body of a platform object; see `apply_if_newer`.
 
         A body without an integer `generation` is recorded as a problem of the document.
+
+        Args:
+            name: Name of the document.
+            body: The body.
+            source: `platform`, or this instance.
+            era: The platform's era when it was read.
         """
         if self._is_unchanged(name, body):
             return False
         match body.get("generation"):
             case int(generation) if not isinstance(generation, bool):
+                if name.startswith(tuple(self._content_compared_prefixes)):
+                    try:
+                        generation = combine_era(era, generation)
+                    except ValueError as error:
+                        self._report_problem(name, str(error), source)
+                        return False
+                    body = {**body, "generation": generation}
                 document = DocumentBody(
                     name=name, generation=generation, hash=hash_body(body), body=body
                 )
@@ -310,15 +325,15 @@
 
     def _apply_changes(self, changes: WatchedChanges) -> None:
         for platform_object in changes.objects:
-            self._apply_object(platform_object)
+            self.apply_body(
+                name=platform_object.name,
+                body=platform_object.value,
+                source="platform",
+                era=changes.era,
+            )
         for malformed in changes.malformed:
             self._report_problem(malformed.name, malformed.message, "platform")
 
-    def _apply_object(self, platform_object: PlatformObject) -> None:
-        self.apply_body(
-            name=platform_object.name, body=platform_object.value, source="platform"
-        )
-
     def _run_exchange(self) -> None:
         while not self._signal.is_stopped:
             seen_count = self._signal.count
--- a/packages/gooseberrymux/src/gooseberrymux/inventory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -11,6 +11,7 @@
 from gooseberrymux.configuration_model import Group
 from gooseberrymux.departures import Departures
 from gooseberrymux.documents import DocumentChanged, Documents
+from gooseberrymux.eras import get_era
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import Membership
 from gooseberrymux.records import InstanceRecord, UpstreamRecord, UpstreamState
@@ -41,6 +42,7 @@
         "_departures",
         "_listed",
         "_retained",
+        "_era",
         "_upstreams",
         "_by_service",
         "_lock",
@@ -57,6 +59,8 @@
         self._listed: dict[str, UpstreamRecord] = {}
         # Records that the list has lost but that stay in force, and until when.
         self._retained: dict[str, tuple[UpstreamRecord, float]] = {}
+        # Era of the platform to which the list belongs.
+        self._era = 0
         self._upstreams: dict[str, UpstreamRecord] = {}
         # An index, as each sub-request asks for the replicas of one service.
         self._by_service: dict[str, tuple[UpstreamRecord, ...]] = {}
@@ -122,7 +126,10 @@
             journal.record_fault(step="inventory.decode", peer="platform", error=error)
             return
         with self._lock:
-            self._replace_list({record.name: record for record in upstreams})
+            self._replace_list(
+                {record.name: record for record in upstreams},
+                era=get_era(event.generation),
+            )
         self._departures.apply_platform_list(
             {record.name: record.epoch for record in upstreams},
             {
@@ -134,12 +141,16 @@
         for record in instances:
             self._membership.handle_listed_instance(record)
 
-    def _replace_list(self, listed: dict[str, UpstreamRecord]) -> None:
+    def _replace_list(self, listed: dict[str, UpstreamRecord], *, era: int) -> None:
         now_ms = self._clock.now_ms()
         removed = {n: r for n, r in self._listed.items() if n not in listed}
-        if len(removed) >= max(
+        is_mass_removal = len(removed) >= max(
             MASS_REMOVAL_MIN_COUNT, MASS_REMOVAL_MIN_SHARE * len(self._listed)
-        ):
+        )
+        # A platform that went back lacks the upstreams that came since then until they
+        # have written their entries again.
+        went_back, self._era = era > self._era, era
+        if removed and (is_mass_removal or went_back):
             until_ms = now_ms + MASS_REMOVAL_HOLD_MS
             self._retained |= {
                 name: (record, until_ms) for name, record in removed.items()
--- a/packages/gooseberrymux/src/gooseberrymux/platform.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform.py
@@ -102,6 +102,7 @@
     """Objects returned by a list call, or changed since the revision of a watch.
 
     Attributes:
+        era: Era of the platform to which the revision belongs.
         revision: Revision that the next watch starts from.
         objects: The listed or changed objects.
         malformed: Items that did not decode; `objects` is usable nevertheless.
@@ -110,6 +111,7 @@
     revision: int
     objects: list[PlatformObject]
     malformed: tuple[MalformedObject, ...] = ()
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -249,7 +251,7 @@
             fields={"prefix": prefix},
             timeout_ms=self._kernel.settings.platform.timeout_ms,
         )
-        return self._run(call).map(get_body).and_then(decode_changes)
+        return self._run(call).and_then(decode_changes)
 
     def watch(
         self, *, prefix: str, revision: int
@@ -270,7 +272,7 @@
             },
             timeout_ms=timeout_ms + WATCH_MARGIN_MS,
         )
-        return self._run(call).map(get_body).and_then(decode_changes)
+        return self._run(call).and_then(decode_changes)
 
     def _run(self, call: Call) -> Result[PlatformAnswer, PlatformError]:
         if not self._acquire_call_slot(call):
@@ -487,12 +489,12 @@
             )
 
 
-def decode_changes(body: dict) -> Result[WatchedChanges, PlatformError]:
+def decode_changes(answer: PlatformAnswer) -> Result[WatchedChanges, PlatformError]:
     """Returns the objects of the response to a list or watch call.
 
     A malformed item does not fail the call; it is returned in `malformed`.
     """
-    match body:
+    match answer.body:
         case {"revision": int(revision), "objects": list(items)}:
             pass
         case _:
@@ -509,7 +511,12 @@
                     MalformedObject(name=str(name or "?"), message=error.message)
                 )
     return Ok(
-        WatchedChanges(revision=revision, objects=objects, malformed=tuple(malformed))
+        WatchedChanges(
+            era=answer.era,
+            revision=revision,
+            objects=objects,
+            malformed=tuple(malformed),
+        )
     )
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/platform_watch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform_watch.py
@@ -58,6 +58,7 @@
         "_has_documents",
         "_apply_changes",
         "_backoff",
+        "_era",
         "_revision",
         "_idle_watches",
         "_is_first_read",
@@ -85,6 +86,8 @@
         self._has_documents = has_documents
         self._apply_changes = apply_changes
         self._backoff = Backoff(generator=random.Random())
+        # Era of the platform to which the revision belongs.
+        self._era = 0
         # Revision from which the next watch starts. 0 and -1 read the whole prefix; -1
         # is set after a time in which this instance did not watch.
         self._revision = 0
@@ -142,7 +145,14 @@
         started_ms = self._kernel.clock.now_ms()
         revision = max(0, self._revision)
         match self._platform.watch(prefix=self.prefix, revision=revision):
+            case Ok(changes) if revision and changes.era != self._era:
+                # The revision is one of a history that the platform no longer has.
+                # Changes between the copy that it went back to and the same revision
+                # of the new history would be missed.
+                self._watcher_selection.record_own_reach(is_reached=True)
+                self._revision = 0
             case Ok(changes) if changes.revision >= self._revision:
+                self._era = changes.era
                 self._watcher_selection.record_own_reach(is_reached=True)
                 if self._process_changes(changes, started_ms):
                     return
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gooseberrymux import journal
+from gooseberrymux.eras import combine_era
 from gooseberrymux.inventory import MASS_REMOVAL_HOLD_MS, Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
@@ -43,11 +44,13 @@
             self.kernel.register(name, fake)
         self.kernel.load(("inventory",))
         self.inventory = self.kernel.find("inventory", Inventory)
+        self.era = 0
         self.generation = 0
 
     def publish(self, records):
         self.generation += 1
-        publish_upstreams(self.kernel, self.generation, records)
+        generation = combine_era(self.era, self.generation)
+        publish_upstreams(self.kernel, generation, records)
 
     def expire_retained(self):
         self.clock.now += MASS_REMOVAL_HOLD_MS
@@ -82,6 +85,20 @@
     assert inventory_harness.list_names() == [record.name for record in back]
 
 
+# Guards against requests refused for lack of an upstream that came after the copy was
+# made from which the platform was restored.
+def test_an_upstream_holds_until_it_is_listed_again_after_the_platform_went_back(
+    inventory_harness,
+):
+    inventory_harness.era, inventory_harness.generation = 1, 0
+    inventory_harness.publish(RECORDS[:-1])
+    assert len(inventory_harness.list_names()) == len(RECORDS)
+    inventory_harness.expire_retained()
+    assert len(inventory_harness.list_names()) == len(RECORDS) - 1
+    inventory_harness.publish(RECORDS[:-2])
+    assert len(inventory_harness.list_names()) == len(RECORDS) - 2
+
+
 def test_the_records_of_a_service_are_the_same_object_until_they_change(
     inventory_harness,
 ):
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -38,7 +38,7 @@
         return answer
 
 
-def create_answer(revision: int, *generations: int, malformed=()) -> Ok:
+def create_answer(revision: int, *generations: int, malformed=(), era=0) -> Ok:
     objects = [
         PlatformObject(
             name=CONFIGURATION_NAME, version=revision, value={"generation": generation}
@@ -46,7 +46,9 @@
         for generation in generations
     ]
     return Ok(
-        WatchedChanges(revision=revision, objects=objects, malformed=tuple(malformed))
+        WatchedChanges(
+            era=era, revision=revision, objects=objects, malformed=tuple(malformed)
+        )
     )
 
 
@@ -89,6 +91,19 @@
     assert node.get(CONFIGURATION_NAME).generation == 2
 
 
+# Guards against changes between the copy that the platform went back to and the
+# revision of the watch, which the new history has as well.
+def test_watch_reads_anew_when_the_platform_went_back_and_has_passed_the_revision():
+    platform, node = run_watch(
+        create_answer(40, 1, era=1),
+        create_answer(60, 3, era=2),
+        create_answer(60, 2, 3, era=2),
+        create_answer(61, 4, era=2),
+    )
+    assert platform.requested_revisions == [0, 40, 0, 60]
+    assert node.get(CONFIGURATION_NAME).generation == 4
+
+
 def test_watch_that_answers_at_once_with_nothing_does_not_spin():
     platform, node = run_watch(create_answer(4, 1), *[create_answer(4)] * 12)
     waited_ms = node._kernel.clock.now_ms()
