Send nothing more to an upstream whose replies say that it leaves

New rule of the users: an upstream that leaves says so in all its answers, and gets nothing more from an instance a few seconds after that instance had such an answer, also if the platform's list never says so. Only the worker pools of the product's own protocol heeded their upstreams; the pools of forwarded requests read no such header. The header's name is a setting. The owner reports the upstream as leaving, which stops new work at once and tells the other instances.

The test fails on the code before: 6 of 6 requests went to the upstream that had said that it leaves.

--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -30,6 +30,7 @@
     PoolExchange,
     prefer_on_time,
 )
+from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.replica_set import ReplicaSet
 from gooseberrymux.replicas import Replica
 from gooseberrymux.route_latencies import RouteLatencies
@@ -77,6 +78,8 @@
         latencies: Estimates the duration of exchanges for each route.
         get_connection_limit: Returns how many connections each upstream of a service
             accepts; None if not limited.
+        report_leaving: Called with an upstream whose reply says that it leaves, unless
+            that is known already; tells the other instances.
     """
 
     kernel: Kernel
@@ -84,6 +87,7 @@
     timers: Timers
     latencies: RouteLatencies
     get_connection_limit: Callable[[str], int | None]
+    report_leaving: Callable[[UpstreamRecord], None]
 
 
 class Pool:
@@ -425,6 +429,7 @@
     ) -> None:
         """Handles the result of an exchange; runs in the thread of its connection."""
         assert isinstance(exchange, PoolExchange)
+        self._report_leaving(exchange.replica.record, result)
         with self._lock:
             now_ms = self._clock.now_ms()
             exchange.request.active_exchanges.remove(exchange)
@@ -436,6 +441,21 @@
             self._dispatch(now_ms)
         self._deliver_outcomes()
 
+    def _report_leaving(
+        self, record: UpstreamRecord, result: forward_exchange.Result
+    ) -> None:
+        """Reports an upstream that says that it leaves; called without the lock."""
+        match result:
+            case Replied(signals=signals) | Declined(signals=signals):
+                if (
+                    signals is not None
+                    and signals.is_leaving
+                    and not self._dependencies.inventory.is_leaving(record)
+                ):
+                    self._dependencies.report_leaving(record)
+            case _:
+                pass
+
     def _apply_result(
         self, exchange: PoolExchange, result: forward_exchange.Result, now_ms: float
     ) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -4,6 +4,7 @@
 import threading
 
 from gooseberrymux import metrics
+from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
 from gooseberrymux.forward_exchange import encode_head
 from gooseberrymux.forward_messages import (
     CancelForward,
@@ -18,7 +19,7 @@
 from gooseberrymux.peers import Peers
 from gooseberrymux.pending_requests import OutcomeCallback, PendingRequest
 from gooseberrymux.pool import REASON_LEAVING, Pool, PoolDependencies
-from gooseberrymux.records import InstanceIdentity
+from gooseberrymux.records import InstanceIdentity, UpstreamRecord
 from gooseberrymux.route_latencies import RouteLatencies
 from gooseberrymux.routes import Routes
 from gooseberrymux.timers import Timers
@@ -30,7 +31,7 @@
 DELAY_IGNORED_MS = 2.0
 
 
-@service("pools", requires=("peers", "inventory", "routes", "timers"))
+@service("pools", requires=("peers", "inventory", "departures", "routes", "timers"))
 class Pools:
     """The pools of this instance; each is created with its service's first request."""
 
@@ -38,6 +39,7 @@
         "_kernel",
         "_peers",
         "_routes",
+        "_departures",
         "_dependencies",
         "_pools",
         "_collectors",
@@ -50,12 +52,14 @@
         self._kernel = kernel
         self._peers = kernel.find("peers", Peers)
         self._routes = kernel.find("routes", Routes)
+        self._departures = kernel.find("departures", Departures)
         self._dependencies = PoolDependencies(
             kernel=kernel,
             inventory=kernel.find("inventory", Inventory),
             timers=kernel.find("timers", Timers),
             latencies=RouteLatencies(),
             get_connection_limit=self._get_connection_limit,
+            report_leaving=self._report_leaving,
         )
         self._pools: dict[str, Pool] = {}
         self._collectors: dict[tuple[str, str], Collector] = {}
@@ -161,6 +165,11 @@
         table = self._routes.get_current()
         return table.connections.get(service_name) if table else None
 
+    def _report_leaving(self, record: UpstreamRecord) -> None:
+        self._departures.report_leaving(
+            upstream=record.name, epoch=record.epoch, source=SOURCE_UPSTREAM
+        )
+
     def _get_or_create_pool(self, name: str) -> Pool:
         pool = self._pools.get(name)
         if pool is None:
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -174,6 +174,7 @@
         proof: Opaque proof of an upstream's reply.
         not_run: Present if the upstream did not run the request.
         rate_limit: Requests a second that the upstream takes from all instances.
+        leaving: `1` or `true` if the upstream leaves and wants no new requests.
         part_proofs: Proofs of the replies that were merged into an answer.
         missing_parts: Number of shards that a merged answer leaves out.
     """
@@ -185,6 +186,7 @@
     proof: Name = "X-Reply-Proof"
     not_run: Name = "X-Not-Run"
     rate_limit: Name = "X-Rate-Limit"
+    leaving: Name = "X-Draining"
     part_proofs: Name = "X-Part-Proofs"
     missing_parts: Name = "X-Parts-Missing"
 
--- a/packages/gooseberrymux/src/gooseberrymux/upstream_signals.py
+++ b/packages/gooseberrymux/src/gooseberrymux/upstream_signals.py
@@ -15,11 +15,15 @@
     Attributes:
         rate_limit_per_s: Requests a second that the upstream takes from all instances
             together; None if it names no limit.
+        is_leaving: Whether the upstream leaves and wants no new requests.
     """
 
     rate_limit_per_s: float | None = None
+    is_leaving: bool = False
 
 
+LEAVING_VALUES = frozenset({"1", "true"})
+
 # Shared instance for the replies that carry no signal, which are nearly all.
 NO_SIGNALS = UpstreamSignals()
 
@@ -34,9 +38,13 @@
         names: Configured names of the protocol's HTTP headers.
     """
     rate_limit = fields.get(names.rate_limit.lower())
-    if rate_limit is None:
+    leaving = fields.get(names.leaving.lower())
+    if rate_limit is None and leaving is None:
         return NO_SIGNALS
-    return UpstreamSignals(rate_limit_per_s=parse_number(rate_limit))
+    return UpstreamSignals(
+        rate_limit_per_s=None if rate_limit is None else parse_number(rate_limit),
+        is_leaving=leaving in LEAVING_VALUES,
+    )
 
 
 def parse_number(value: str) -> float | None:
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -355,14 +355,7 @@
             return create_not_run(item.subrequest, REASON_UPSTREAM_LEAVING, record.name)
         try:
             outcome = connection.run(item.subrequest, item.deadline_ms)
-            self._apply_signals(connection)
-            match outcome:
-                case SubrequestNotRun(reason=reason) if reason == REASON_DRAINING:
-                    self._departures.report_leaving(
-                        upstream=record.name,
-                        epoch=record.epoch,
-                        source=SOURCE_UPSTREAM,
-                    )
+            self._apply_signals(connection, outcome)
             return outcome
         except Exception as error:
             # An unexpected error in one exchange must not end the worker thread.
@@ -378,14 +371,25 @@
                 peer=self.record.name,
             )
 
-    def _apply_signals(self, connection: SubrequestConnection) -> None:
-        if connection.signals is None:
+    def _apply_signals(
+        self, connection: SubrequestConnection, outcome: SubrequestOutcome
+    ) -> None:
+        """Applies what the upstream said about its load and state in its reply."""
+        record, signals = connection.record, connection.signals
+        if signals is None:
             return
+        is_refused_as_draining = (
+            isinstance(outcome, SubrequestNotRun) and outcome.reason == REASON_DRAINING
+        )
+        if signals.is_leaving or is_refused_as_draining:
+            self._departures.report_leaving(
+                upstream=record.name, epoch=record.epoch, source=SOURCE_UPSTREAM
+            )
         with self._lock:
             self._rate_limit = update_rate_limit(
                 self._rate_limit,
-                connection.signals,
-                record=connection.record,
+                signals,
+                record=record,
                 now_ms=self._kernel.clock.now_ms(),
             )
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -50,6 +50,9 @@
     def apply_platform_list(self, epochs, leaving):
         pass
 
+    def report_leaving(self, *, upstream, epoch, source):
+        self.leaving.add(upstream)
+
 
 class Owner:
     """An instance that owns a service, with real connections to scripted upstreams."""
@@ -175,6 +178,20 @@
     assert outcome.proof and outcome.sends == 1
 
 
+# Guards against requests to an upstream that has said in a reply that it leaves, while
+# the platform's list does not say so yet.
+def test_an_upstream_that_says_that_it_leaves_gets_no_more_requests(owner):
+    leaving = owner.add_upstream("u1", lambda r: r.reply(200, b"", x_draining="1"))
+    owner.submit()
+    owner.wait_for_outcomes(1)
+    staying = owner.add_upstream("u2", answer)
+    for number in range(5):
+        owner.submit()
+        owner.wait_for_outcomes(number + 2)
+    assert len(leaving.requests) == 1
+    assert len(staying.requests) == 5
+
+
 def test_without_upstreams_it_is_refused_as_not_run_at_once(owner):
     owner.submit()
     (outcome,) = owner.outcomes
