Send an upstream nothing within the pause that it asks for

New rule of the users: an upstream that refuses with 503 may add Retry-After and then wants nothing from that instance for so long. Nothing read the header. The owner now leaves a paused upstream out of the choice until the pause ends, and the worker pools wait; a refusal for lack of upstreams tells callers to come back when the first pause ends.

The test fails on the code before (requests reached the paused upstream within its pause).

--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -217,7 +217,9 @@
         if reply.closes_connection or parser.has_excess:
             self.close()
         self._last_used_ms = self._clock.now_ms()
-        self.signals = parse_signals(dict(reversed(reply.headers)), HEADER_NAMES)
+        self.signals = parse_signals(
+            dict(reversed(reply.headers)), status=reply.status, names=HEADER_NAMES
+        )
         return reply.status, _decoder.decode(reply.body)
 
     def _create_outcome(
--- a/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
@@ -156,7 +156,7 @@
         return Broken(reason=REASON_FOREIGN)
     if received.status == STATUS_MISDIRECTED:
         return Declined(reason=REASON_OTHER_UPSTREAM, elapsed_ms=elapsed_ms)
-    signals = parse_signals(fields, names)
+    signals = parse_signals(fields, status=received.status, names=names)
     if names.not_run.lower() in fields:
         return Declined(reason=REASON_SHED, elapsed_ms=elapsed_ms, signals=signals)
     proof = fields.get(names.proof.lower(), "")
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -554,10 +554,17 @@
                     reason=reason,
                     step="pool.submit",
                     peer=self.service,
-                    retry_after_ms=RETRY_AFTER_MS,
+                    retry_after_ms=self._compute_retry_after_ms(reason),
                 ),
             )
 
+    def _compute_retry_after_ms(self, reason: str) -> float:
+        """Returns after how many milliseconds a refused request may succeed."""
+        if reason == REASON_NO_REPLICA:
+            pause_ms = self._replicas.get_pause_ms(self._clock.now_ms())
+            return max(RETRY_AFTER_MS, pause_ms)
+        return RETRY_AFTER_MS
+
     def _record_refusal(self, request: PendingRequest, reason: str) -> None:
         now_ms = self._clock.now_ms()
         journal.record_event(
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -102,6 +102,7 @@
             for name, replica in self._replicas.items()
             if name not in excluded
             and not replica.is_ejected(now_ms)
+            and not replica.is_paused(now_ms)
             and not is_leaving(replica.record)
         ]
 
@@ -117,6 +118,16 @@
             replica.count_parallel(median_ms) for replica in self.list_usable(now_ms)
         )
 
+    def get_pause_ms(self, now_ms: float) -> float:
+        """Returns the time in milliseconds until the first pause ends; 0 if none is."""
+        pauses_ms = (
+            replica.paused_until_ms - now_ms
+            for replica in self._replicas.values()
+            if replica.is_paused(now_ms)
+            and not self._inventory.is_leaving(replica.record)
+        )
+        return min(pauses_ms, default=0.0)
+
     def is_rate_limited(self, now_ms: float) -> bool:
         """Returns whether a usable upstream names a rate limit."""
         return any(replica.rate_limit for replica in self.list_usable(now_ms))
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -20,6 +20,7 @@
     Shed,
     UpstreamHealth,
 )
+from gooseberrymux.upstream_signals import UpstreamSignals
 
 # An upstream counts as stalled if an exchange has lasted this many times the 95th
 # percentile of its route and no reply came from the upstream since the exchange began:
@@ -66,6 +67,8 @@
         last_reply_ms: When the upstream last replied, in monotonic milliseconds.
         last_send_ms: When the last exchange started, in monotonic milliseconds.
         rate_limit: The limit that the upstream names, or None if it names none.
+        paused_until_ms: Until when the upstream wants no requests from this instance,
+            in monotonic milliseconds.
     """
 
     __slots__ = (
@@ -76,6 +79,7 @@
         "last_reply_ms",
         "last_send_ms",
         "rate_limit",
+        "paused_until_ms",
     )
 
     def __init__(self, *, record: UpstreamRecord):
@@ -86,6 +90,7 @@
         self.last_reply_ms = 0.0
         self.last_send_ms = float("-inf")
         self.rate_limit: RateLimit | None = None
+        self.paused_until_ms = float("-inf")
 
     def has_free_slot(self, limit: int) -> bool:
         """Returns whether the upstream could run another exchange.
@@ -136,6 +141,10 @@
             case _:
                 return False
 
+    def is_paused(self, now_ms: float) -> bool:
+        """Returns whether the upstream has asked for a pause that has not ended."""
+        return now_ms < self.paused_until_ms
+
     def is_probe_due(self, now_ms: float, slowness: float) -> bool:
         """Returns whether the next request may probe if the upstream has recovered.
 
@@ -196,9 +205,7 @@
             ):
                 self.last_reply_ms = now_ms
                 if signals is not None:
-                    self.rate_limit = update_rate_limit(
-                        self.rate_limit, signals, record=self.record, now_ms=now_ms
-                    )
+                    self._apply_signals(signals, now_ms)
         before = self.evidence.state
         observation = create_observation(exchange, result, latency, now_ms)
         self.evidence.observe(observation, now_ms)
@@ -223,6 +230,21 @@
                 self.evidence.state = SERVING
         self._record_change(type(before).__name__, observation, exchange)
 
+    def _apply_signals(self, signals: UpstreamSignals, now_ms: float) -> None:
+        self.rate_limit = update_rate_limit(
+            self.rate_limit, signals, record=self.record, now_ms=now_ms
+        )
+        if signals.pause_ms > 0.0:
+            # Replies to requests that were sent before may arrive in any order.
+            until_ms = max(self.paused_until_ms, now_ms + signals.pause_ms)
+            self.paused_until_ms = until_ms
+            journal.record_event(
+                "upstream.paused",
+                upstream=self.record.name,
+                epoch=self.record.epoch,
+                pause_ms=signals.pause_ms,
+            )
+
     def _record_change(
         self, before: str, observation: Observation, exchange: Exchange
     ) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -134,6 +134,7 @@
         "_service_time_updated_ms",
         "_last_used_ms",
         "_rate_limit",
+        "_paused_until_ms",
         "_canceller",
         "_on_closed",
     )
@@ -170,6 +171,7 @@
         self._service_time_updated_ms = float("-inf")
         self._last_used_ms = kernel.clock.now_ms()
         self._rate_limit: RateLimit | None = None
+        self._paused_until_ms = float("-inf")
         self._canceller = Canceller(
             kernel=kernel,
             get_record=lambda: self.record,
@@ -199,6 +201,7 @@
         with self._lock:
             if record.epoch != self.record.epoch:
                 self._rate_limit = None
+                self._paused_until_ms = float("-inf")
             self.record = record
         self.start()
 
@@ -317,7 +320,7 @@
                     self._worker_count = min(self._worker_count, worker_index)
                     return None
                 now_ms = self._kernel.clock.now_ms()
-                wait_ms = self._get_limit_wait_ms(now_ms)
+                wait_ms = self._get_send_wait_ms(now_ms)
                 if wait_ms > 0.0 and len(self._queue):
                     self._kernel.clock.wait(self._changed, wait_ms)
                     continue
@@ -331,8 +334,10 @@
                 if not self._kernel.clock.wait(self._changed, POOL_IDLE_TIMEOUT_MS):
                     self._close_if_idle()
 
-    def _get_limit_wait_ms(self, now_ms: float) -> float:
-        return self._rate_limit.get_wait_ms(now_ms) if self._rate_limit else 0.0
+    def _get_send_wait_ms(self, now_ms: float) -> float:
+        """Returns how long the upstream wants no request; 0 if it takes one now."""
+        limit_ms = self._rate_limit.get_wait_ms(now_ms) if self._rate_limit else 0.0
+        return max(limit_ms, self._paused_until_ms - now_ms, 0.0)
 
     def _close_if_idle(self) -> None:
         idle_ms = self._kernel.clock.now_ms() - self._last_used_ms
@@ -385,13 +390,17 @@
             self._departures.report_leaving(
                 upstream=record.name, epoch=record.epoch, source=SOURCE_UPSTREAM
             )
+        now_ms = self._kernel.clock.now_ms()
         with self._lock:
             self._rate_limit = update_rate_limit(
                 self._rate_limit,
                 signals,
                 record=record,
-                now_ms=self._kernel.clock.now_ms(),
+                now_ms=now_ms,
             )
+            if signals.pause_ms > 0.0:
+                until_ms = max(self._paused_until_ms, now_ms + signals.pause_ms)
+                self._paused_until_ms = until_ms
 
     def _finish_item(
         self, item: QueuedItem, outcome: SubrequestOutcome
@@ -424,12 +433,12 @@
 
     def _estimate_wait_ms(self, rank: Rank, now_ms: float) -> float:
         """Estimates how long a new item of `rank` would wait to be sent."""
+        send_wait_ms = self._get_send_wait_ms(now_ms)
         if self._rate_limit is not None:
             ahead = self._queue.estimate_dispatches_ahead(rank)
-            return (
-                self._rate_limit.get_wait_ms(now_ms)
-                + ahead * MS_PER_S / self._rate_limit.allowed_per_s
-            )
+            return send_wait_ms + ahead * MS_PER_S / self._rate_limit.allowed_per_s
+        if send_wait_ms > 0.0:
+            return send_wait_ms
         if len(self._running) < self._connection_limit and not len(self._queue):
             return 0.0
         if now_ms - self._service_time_updated_ms > MAX_ESTIMATE_AGE_MS:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -192,6 +192,45 @@
     assert len(staying.requests) == 5
 
 
+# Guards against requests to an upstream within the pause that it has asked for.
+def test_an_upstream_that_asks_for_a_pause_gets_nothing_until_its_end(owner):
+    def refuse(request):
+        request.reply(503, x_not_run="1", retry_after="0.4")
+
+    paused = owner.add_upstream("u1", refuse)
+    clock = owner.kernel.clock
+    owner.submit(attempts=1, remaining_ms=100.0)
+    owner.wait_for_outcomes(1)
+    paused_ms = clock.now_ms()
+    paused.handler = answer
+    owner.submit()
+    (_, refused) = owner.wait_for_outcomes(2)
+    assert isinstance(refused, PartNotRun) and refused.retry_after_ms > 300.0
+    owner.add_upstream("u2", answer)
+    while clock.now_ms() < paused_ms + 300.0:
+        owner.submit()
+        owner.wait_for_outcomes(len(owner.outcomes) + 1)
+    assert len(paused.requests) == 1
+
+
+# Guards against an upstream that stays unused after its pause.
+def test_an_upstream_gets_requests_again_after_its_pause(owner):
+    def refuse(request):
+        request.reply(503, x_not_run="1", retry_after="0.05")
+
+    paused = owner.add_upstream("u1", refuse)
+    owner.submit(attempts=1, remaining_ms=40.0)
+    owner.wait_for_outcomes(1)
+    paused.handler = answer
+
+    def is_replied():
+        owner.submit()
+        owner.wait_for_outcomes(len(owner.outcomes) + 1)
+        return isinstance(owner.outcomes[-1], PartReplied)
+
+    wait_until(is_replied, message="the upstream gets nothing after its pause")
+
+
 def test_without_upstreams_it_is_refused_as_not_run_at_once(owner):
     owner.submit()
     (outcome,) = owner.outcomes
