Follow the platform's list although single values in it can't be decoded

Report of another operator: one odd entry among those of the servers made machines end, or stop following the list. The second can happen here: a value nested a thousand levels deep, an integer of more than 4,300 digits or bytes that are not UTF-8 made the whole answer undecodable, and the list in force stayed as it was.

Such a value now counts as null, so that it spoils its own entry at most; the slower reading is used only after the usual one has failed.

--- a/packages/gooseberrymux/src/gooseberrymux/platform.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform.py
@@ -12,6 +12,7 @@
 from gooseberrymux import journal, metrics
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
+from gooseberrymux.lenient_json import decode_json
 from gooseberrymux.records import RunState
 
 # A watch without changes is answered only at its own timeout; the margin lets that
@@ -393,8 +394,8 @@
                             call, "the response took too long or is too large"
                         )
                     )
-            body = json.loads(data)
-        except (urllib3.exceptions.HTTPError, ValueError, RecursionError) as error:
+            body = decode_json(data)
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
             response.close()
             return Err(
                 create_response_error(
--- a/packages/gooseberrystand/src/gooseberrystand/server.py
+++ b/packages/gooseberrystand/src/gooseberrystand/server.py
@@ -61,12 +61,21 @@
     status: int = 200
 
 
+@_frozen
+class RawReply:
+    """A reply whose body is sent as it is."""
+
+    data: bytes
+    status: int = 200
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
 @_frozen
 class NoReply:
     """The connection is closed without a reply."""
 
 
-Reply = JsonReply | TruncatedReply | GarbledReply | NoReply
+Reply = JsonReply | TruncatedReply | GarbledReply | RawReply | NoReply
 
 
 class Application(Protocol):
@@ -237,6 +246,8 @@
                 )
             case GarbledReply(status=status):
                 self._write_bytes(status, b"\x00\xff{not json", {})
+            case RawReply(data=data, status=status, headers=headers):
+                self._write_bytes(status, data, headers)
             case NoReply():
                 self.close_connection = True
 
--- a/tests/machines/test_restored_store.py
+++ b/tests/machines/test_restored_store.py
@@ -19,8 +19,8 @@
 class Instance:
     """The services of one instance that follow the store, with a store of its own."""
 
-    def __init__(self):
-        self.store = FakeStore()
+    def __init__(self, store=None):
+        self.store = store or FakeStore()
         for name in SERVER_NAMES:
             self.write_server(name)
         self.write_configuration(7)
@@ -51,7 +51,7 @@
     def wait_for_state(self, name, state):
         def is_in_state():
             record = self.inventory.find_upstream(name)
-            return record is not None and record.state is state
+            return record is not None and record.state == state
 
         wait_until(is_in_state, message=f"{name} is not {state}")
 
@@ -69,8 +69,8 @@
 
 
 @contextlib.contextmanager
-def open_instance():
-    instance = Instance()
+def open_instance(store=None):
+    instance = Instance(store)
     try:
         yield instance
     finally:
