--- a/packages/gooseberrystand/src/gooseberrystand/objects.py
+++ b/packages/gooseberrystand/src/gooseberrystand/objects.py
@@ -7,6 +7,21 @@
 from gooseberrymux.clock import Clock
 
 INSTANCE_LIST_NAME = "instances"
+# Copies of the state that are kept, one for each write, to go back to.
+COPIES_LIMIT = 1_000
+
+
+class RevisionGoneError(Exception):
+    """A watch starts from a revision that the store does not have."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StoreCopy:
+    """The state of the store after a write at `written_at_ms` of its clock."""
+
+    written_at_ms: float
+    revision: int
+    objects: dict[str, tuple["ObjectVersion", ...]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,6 +43,7 @@
     of the written object.
 
     Attributes:
+        era: How often the store has gone back to an earlier state.
         list_lag_ms: Delay in milliseconds until a new version of the instance list
             becomes visible.
         stale_reads: Whether `get` and `list_changed` return the version before the
@@ -39,6 +55,8 @@
         "_objects",
         "_changed",
         "_revision",
+        "_copies",
+        "era",
         "list_lag_ms",
         "stale_reads",
     )
@@ -50,6 +68,8 @@
         self._objects: dict[str, list[ObjectVersion]] = {}
         self._changed = threading.Condition()
         self._revision = 0
+        self._copies: list[StoreCopy] = []
+        self.era = 0
         self.list_lag_ms = 0.0
         self.stale_reads = False
 
@@ -120,10 +140,15 @@
 
         Returns the changes, or none after `timeout_ms` or once `is_interrupted` is true
         when the watch wakes. `is_interrupted` is called with the lock held.
+
+        Raises:
+            RevisionGoneError: The store has gone back to before `after`.
         """
         deadline_ms = self._clock.now_ms() + timeout_ms
         with self._changed:
             while True:
+                if after > self._revision:
+                    raise RevisionGoneError(f"revision {after}")
                 changes = self._collect_changes(prefix, after, stale=False)
                 now_ms = self._clock.now_ms()
                 if changes["objects"] or now_ms >= deadline_ms or is_interrupted():
@@ -131,6 +156,24 @@
                 wake_ms = min([deadline_ms, *self._list_visibility_times(prefix)])
                 self._clock.wait(self._changed, wake_ms - now_ms)
 
+    def restore(self, *, age_ms: float) -> None:
+        """Goes back to the state of `age_ms` ago; later writes are lost.
+
+        The revision goes back too and is given out again; the era rises by one.
+        """
+        until_ms = self._clock.now_ms() - age_ms
+        with self._changed:
+            self._copies = [c for c in self._copies if c.written_at_ms <= until_ms]
+            self._objects, self._revision = {}, 0
+            if self._copies:
+                copy = self._copies[-1]
+                self._revision = copy.revision
+                self._objects = {
+                    name: list(history) for name, history in copy.objects.items()
+                }
+            self.era += 1
+            self._changed.notify_all()
+
     def interrupt_watches(self) -> None:
         """Wakes all watches, so that each calls its `is_interrupted` again."""
         with self._changed:
@@ -147,9 +190,18 @@
         visible = sum(entry.visible_at_ms <= now_ms for entry in history)
         del history[: max(0, visible - 2)]
         history.append(written)
+        self._keep_copy(now_ms)
         self._changed.notify_all()
         return {"name": name, "version": self._revision}
 
+    def _keep_copy(self, now_ms: float) -> None:
+        copy = StoreCopy(
+            written_at_ms=now_ms,
+            revision=self._revision,
+            objects={name: tuple(found) for name, found in self._objects.items()},
+        )
+        self._copies = [*self._copies, copy][-COPIES_LIMIT:]
+
     def _get_newest(self, name: str) -> ObjectVersion | None:
         history = self._objects.get(name)
         return history[-1] if history else None
--- a/packages/gooseberrystand/src/gooseberrystand/platform.py
+++ b/packages/gooseberrystand/src/gooseberrystand/platform.py
@@ -7,10 +7,11 @@
 from pathlib import Path
 
 from gooseberrymux.clock import Clock
-from gooseberrystand.objects import ObjectStore
+from gooseberrystand.objects import ObjectStore, RevisionGoneError
 from gooseberrystand.server import Call, JsonReply, NoReply, Reply, create_error, serve
 
 OUTAGE_MODES = ("close", "hang")
+ERA_HEADER = "X-Platform-Era"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -61,7 +62,18 @@
         """Counts no connections."""
 
     def handle(self, call: Call) -> Reply:
-        """Answers a call of the object API; blocks in a watch or a hanging outage."""
+        """Answers a call of the object API; blocks in a watch or a hanging outage.
+
+        All replies name the era of the store when the call was answered.
+        """
+        match self._handle_call(call):
+            case JsonReply(headers=headers) as reply:
+                headers = {**headers, ERA_HEADER: str(self._store.era)}
+                return dataclasses.replace(reply, headers=headers)
+            case reply:
+                return reply
+
+    def _handle_call(self, call: Call) -> Reply:
         if self._faults.slow_ms:
             self._clock.sleep_ms(self._faults.slow_ms)
         if self._check_outage():
@@ -100,6 +112,9 @@
                     put=call.body.get("put", []), remove=call.body.get("remove", [])
                 )
                 return JsonReply(body=edited)
+            case ("POST", "/_restore"):
+                self._store.restore(age_ms=float(call.body.get("age_ms", 0.0)))
+                return JsonReply(body={"era": self._store.era})
             case _:
                 return create_error(404, "not_found", call.path)
 
@@ -149,6 +164,8 @@
                 timeout_ms=float(call.query_parameters.get("timeout_ms", "0")),
                 is_interrupted=lambda: self._faults.outage,
             )
+        except RevisionGoneError as error:
+            return create_error(410, "gone", str(error))
         finally:
             self._add_to_count("watch_open", -1)
         return self._create_reply(changes)
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -7,8 +7,8 @@
 import pytest
 
 from gooseberrymux.clock import ManualClock
-from gooseberrystand.objects import ObjectStore
-from gooseberrystand.platform import PlatformServer
+from gooseberrystand.objects import ObjectStore, RevisionGoneError
+from gooseberrystand.platform import ERA_HEADER, PlatformServer
 from gooseberrystand.server import Call, NoReply
 
 
@@ -47,6 +47,39 @@
     assert [item["value"] for item in late["objects"]] == [{"generation": 1}]
 
 
+# Guards against a stand-in that keeps what a restored platform has lost.
+def test_a_restored_store_gives_its_revisions_out_again(store, clock):
+    store.put(name="a", value={"n": 1}, expected_version=0)
+    clock.advance(1_000)
+    store.put(name="a", value={"n": 2}, expected_version=1)
+    store.put(name="b", value={}, expected_version=0)
+    clock.advance(1_000)
+    store.restore(age_ms=1_500.0)
+    assert store.era == 1
+    assert store.get("a")["value"] == {"n": 1}
+    assert store.get("b")["version"] == 0
+    with pytest.raises(RevisionGoneError):
+        store.watch(prefix="", after=3, timeout_ms=0, is_interrupted=lambda: False)
+    assert store.put(name="b", value={}, expected_version=0)["version"] == 2
+
+
+def test_a_restored_platform_names_its_era_and_refuses_later_revisions(store, clock):
+    server = PlatformServer(clock=clock, store=store)
+    store.put(name="a", value={}, expected_version=0)
+    clock.advance(10)
+    assert server.handle(create_call("GET", "/objects")).headers[ERA_HEADER] == "0"
+    server.handle_control(create_call("POST", "/_restore", {"age_ms": 20}))
+    assert server.handle(create_call("GET", "/objects")).headers[ERA_HEADER] == "1"
+    watch = Call(
+        method="GET",
+        path="/watch",
+        query_parameters={"after": "1"},
+        headers={},
+        body={},
+    )
+    assert server.handle(watch).status == 410
+
+
 def test_stale_read_answers_from_before_the_last_write(store):
     store.put(name="a", value={"n": 1}, expected_version=0)
     store.put(name="a", value={"n": 2}, expected_version=1)
