Write an accepted configuration again to a platform that has lost it

The configuration in force stayed on all instances and the next change built on it, but until then only their memory held it, so an accepted change was gone once all of them had restarted. A watcher that reads an older copy than the one in force now writes the latter by a conditional update at the version that it read. After a stale read that update conflicts and changes nothing.

--- a/packages/gooseberrymux/src/gooseberrymux/configuration.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration.py
@@ -3,6 +3,7 @@
 import threading
 
 import pydantic
+from result import Err, Ok
 
 from gooseberrymux import journal
 from gooseberrymux.configuration_changes import Change, Outcome, describe_outcome
@@ -15,9 +16,9 @@
     Group,
     Selector,
 )
-from gooseberrymux.documents import DocumentChanged, Documents
+from gooseberrymux.documents import DocumentChanged, Documents, OlderCopyFound
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.platform import Platform
+from gooseberrymux.platform import Platform, VersionConflict, Written
 from gooseberrymux.proposals import CONFIGURATION_NAME, Proposal
 from gooseberrymux.records import InstanceRecord, UpstreamRecord
 
@@ -73,6 +74,7 @@
             INVENTORY_DOCUMENT_NAME, check_inventory_document
         )
         kernel.subscribe(DocumentChanged, self._handle_document)
+        kernel.subscribe(OlderCopyFound, self._write_again)
 
     def start(self) -> None:
         """Does nothing: the configuration arrives as a document."""
@@ -150,6 +152,33 @@
         self._current = decoded
         self._kernel.publish(ConfigurationChanged(configuration=decoded))
 
+    def _write_again(self, event: OlderCopyFound) -> None:
+        """Writes the configuration in force to a platform that has lost it.
+
+        Without this an accepted change would be gone once all instances had restarted.
+        After a stale read the conditional update conflicts and changes nothing, and of
+        several instances that write only one succeeds.
+        """
+        document = self._documents.get(event.name)
+        if event.name != CONFIGURATION_NAME or document is None:
+            return
+        written = self._platform.put(
+            name=event.name, value=document.body, expected_version=event.version
+        )
+        match written:
+            case Ok(Written()):
+                outcome = "written"
+            case Ok(VersionConflict()):
+                outcome = "conflict"
+            case Err(error):
+                outcome = str(error)
+        journal.record_event(
+            "configuration.written_again",
+            generation=document.generation,
+            version=event.version,
+            outcome=outcome,
+        )
+
 
 def check_configuration_document(body: dict) -> str | None:
     """Returns why a document is not a valid configuration, or None if it is."""
--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -25,7 +25,7 @@
     hash_body,
     limit_bodies,
 )
-from gooseberrymux.eras import combine_era
+from gooseberrymux.eras import combine_era, get_era
 from gooseberrymux.errors import MuxError
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import MemberChanged, Membership
@@ -37,7 +37,7 @@
     DocumentRequest,
 )
 from gooseberrymux.peers import Peers
-from gooseberrymux.platform import Platform, WatchedChanges
+from gooseberrymux.platform import Platform, PlatformObject, WatchedChanges
 from gooseberrymux.platform_watch import PlatformWatch
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.watcher_selection import WatcherSelection
@@ -63,6 +63,21 @@
     body: dict
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OlderCopyFound:
+    """The platform has an older copy of a document than the one in force here.
+
+    Either the read was stale, or the platform has lost the later copies.
+
+    Attributes:
+        name: Name of the document.
+        version: Version of the platform's object that holds the older copy.
+    """
+
+    name: str
+    version: int
+
+
 @service("documents", requires=("platform", "peers", "membership"))
 class Documents:
     """Stores the documents, watches the platform and exchanges copies with peers."""
@@ -241,7 +256,6 @@
                 case Outdated():
                     if source == "platform":
                         self._table.resolve_problem(document)
-                        self._record_older_copy(document)
                     return False
                 case HashConflict(losing_hash=losing_hash):
                     self._report_conflict(document, losing_hash, source)
@@ -258,16 +272,27 @@
         self._push(document, source)
         return True
 
-    def _record_older_copy(self, document: DocumentBody) -> None:
-        """Logs that the platform has an older copy than the one in force here."""
-        known = self._table.get(document.name)
-        if known is not None and known.generation > document.generation:
-            journal.record_event(
-                "documents.older_copy",
-                document=document.name,
-                in_force=known.generation,
-                found=document.generation,
-            )
+    def _report_older_copy(self, found: PlatformObject, *, era: int) -> None:
+        """Reports a copy on the platform that is older than the one in force here."""
+        known = self._table.get(found.name)
+        match found.value.get("generation"):
+            case int(generation) if known and known.generation > generation:
+                pass
+            case _:
+                return
+        if found.name.startswith(tuple(self._content_compared_prefixes)) and (
+            get_era(known.generation) <= era
+        ):
+            # Its generation is a position of the platform, which goes on from there.
+            return
+        journal.record_event(
+            "documents.older_copy",
+            document=found.name,
+            in_force=known.generation,
+            found=generation,
+            era=era,
+        )
+        self._kernel.publish(OlderCopyFound(name=found.name, version=found.version))
 
     def _publish_change(self, document: DocumentBody, source: str) -> None:
         metrics.generation.set({"document": document.name}, document.generation)
@@ -331,6 +356,7 @@
                 source="platform",
                 era=changes.era,
             )
+            self._report_older_copy(platform_object, era=changes.era)
         for malformed in changes.malformed:
             self._report_problem(malformed.name, malformed.message, "platform")
 
