Keep claims of orders that a restored platform has lost

Claims leave a ledger only by their age, so an entry that the committer of a range has read or written before and that a later read lacks was lost; it is written again with the next commit, also after the failed commits of the outage itself. What only instances knew that have ended since stays lost.

--- a/packages/gooseberrymux/src/gooseberrymux/group_commit.py
+++ b/packages/gooseberrymux/src/gooseberrymux/group_commit.py
@@ -25,6 +25,7 @@
     decode_ledger,
     encode_ledger,
 )
+from gooseberrymux.lost_claims import restore_lost_claims
 from gooseberrymux.platform import Platform, PlatformObject, VersionConflict, Written
 
 # Pause after a failed platform call; without it, an outage would cause a busy loop.
@@ -116,6 +117,7 @@
         "_lock",
         "_thread_is_running",
         "_cached",
+        "_last_known",
     )
 
     def __init__(self, *, name: str, kernel: Kernel, platform: Platform):
@@ -132,6 +134,8 @@
         self._lock = threading.Lock()
         self._thread_is_running = False
         self._cached: VersionedLedger | None = None
+        # The ledger as it was last read or written, also after failed commits.
+        self._last_known: Ledger | None = None
 
     def enqueue(self, pending: PendingCommand) -> None:
         """Queues a command, and starts the commit thread if none is running.
@@ -202,15 +206,16 @@
                     clock.sleep_ms(RETRY_DELAY_MS)
                     continue
                 consecutive_failures = 0
+            restored = self._restore_lost(base.ledger)
             applied = apply_commands(
-                base=base.ledger,
+                base=restored,
                 commands=commands,
                 wall_ms=clock.wall_ms(),
                 limits=self._limits,
             )
-            if not applied.changed:
+            if not applied.changed and restored is base.ledger:
                 if is_fresh:
-                    self._cached = base
+                    self._keep(base)
                     return applied.verdicts
                 # The cached ledger may be out of date, and no write confirms its
                 # version, so the verdicts must come from a fresh read.
@@ -222,9 +227,7 @@
                 expected_version=base.version,
             ):
                 case Ok(Written(version=version)):
-                    self._cached = VersionedLedger(
-                        version=version, ledger=applied.ledger
-                    )
+                    self._keep(VersionedLedger(version=version, ledger=applied.ledger))
                     return applied.verdicts
                 case Ok(VersionConflict(current=found)):
                     base, is_fresh = self._decode(found), True
@@ -240,6 +243,24 @@
         self._cached = None
         return [Unavailable(reason=REASON_PLATFORM)] * len(group)
 
+    def _keep(self, ledger: VersionedLedger) -> None:
+        self._cached = ledger
+        self._last_known = ledger.ledger
+
+    def _restore_lost(self, found: Ledger) -> Ledger:
+        """Returns a ledger with the claims that the platform has lost, if any."""
+        if self._last_known is None or self._last_known is found:
+            return found
+        restored = restore_lost_claims(found, self._last_known)
+        if restored is not found:
+            journal.record_event(
+                "claims.restored",
+                range=self._name,
+                found=len(found.entries),
+                restored=len(restored.entries),
+            )
+        return restored
+
     def _read(self) -> VersionedLedger | None:
         match self._platform.get(self._name):
             case Ok(found):
