Be ready only once all services are started

Services start one after the other, and the health listeners were open 11 ms before the administration listener. Readiness now waits for the kernel to have started all services. The new test fails without the check.

--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -259,7 +259,8 @@
         elif self._leaving:
             state = "leaving"
         elif (
-            self._configuration.get_current() is None
+            not self._kernel.is_started
+            or self._configuration.get_current() is None
             or not self._snapshots.list_current()
         ):
             state = "starting"
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -165,6 +165,7 @@
         """Whether a balancer may send new connections to this instance."""
         return (
             not self._leaving
+            and self._kernel.is_started
             and self._kernel.failure is None
             and self._routes.get_current() is not None
             and bool(self._inventory.list_upstreams())
--- a/packages/gooseberrymux/src/gooseberrymux/kernel.py
+++ b/packages/gooseberrymux/src/gooseberrymux/kernel.py
@@ -91,6 +91,7 @@
         "_failure",
         "_state_changed",
         "_stop_requests",
+        "is_started",
         "is_draining",
     )
 
@@ -105,6 +106,7 @@
         self._failure: str | None = None
         self._state_changed = threading.Condition(self._lock)
         self._stop_requests = 0
+        self.is_started = False
         self.is_draining = False
 
     def load(self, names: tuple[str, ...]) -> None:
@@ -165,6 +167,7 @@
         for name in self._order:
             self._services[name].start()
             journal.record_event("kernel.started", service=name)
+        self.is_started = True
 
     def drain(self, deadline_ms: float) -> bool:
         """Announces the stop, then drains all services in reverse start order.
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -50,6 +50,7 @@
         self.kernel.load(("gateway",))
         for name in ("timers", "callers", "gateway"):
             self.kernel._services[name].start()
+        self.kernel.is_started = True
         self.gateway = self.kernel.find("gateway", Gateway)
         self.address = self.gateway._caller_server.bind_addr
         self.health = self.gateway._health_server.bind_addr
@@ -183,6 +184,17 @@
     assert env.open_caller(env.health).get("/-/ready")[0] == 200
 
 
+# Guards against a balancer that sends requests, or an operator who calls, while some
+# listeners are not open yet.
+def test_it_is_ready_only_once_all_services_are_started(env):
+    env.publish_routes(create_route())
+    env.publish_upstreams(s=echo)
+    env.kernel.is_started = False
+    assert env.open_caller(env.health).get("/-/ready")[0] == 503
+    env.kernel.is_started = True
+    assert env.open_caller(env.health).get("/-/ready")[0] == 200
+
+
 def test_metrics_are_served_beside_the_health(env):
     env.publish_routes(create_route())
     env.publish_upstreams(s=echo)
--- a/tests/test_kernel.py
+++ b/tests/test_kernel.py
@@ -10,6 +10,9 @@
         self.name = name
         self.calls = calls
 
+    def start(self):
+        self.calls.append(f"start {self.name}")
+
     def drain(self, deadline_ms):
         self.calls.append(self.name)
 
@@ -27,6 +30,15 @@
     assert calls == ["announced", "api", "peers"]
 
 
+def test_a_kernel_counts_as_started_after_its_last_service():
+    kernel, calls = create_kernel(), []
+    for name in ("peers", "api"):
+        kernel.register(name, FakeService(name, calls))
+    assert not kernel.is_started
+    kernel.start()
+    assert kernel.is_started and len(calls) == 2
+
+
 def test_drain_that_passed_its_deadline_is_reported():
     kernel = create_kernel()
     kernel.clock.advance(1_000)
