Show rate limits and a store that goes back in the soak

Upstreams of the soak may name a limit, and its store may come back as it was some seconds before; operator and upstreams write theirs again, and entries of upstreams that have gone lapse. A check counts the requests to a limited upstream.

--- a/tests/machines/fake_store.py
+++ b/tests/machines/fake_store.py
@@ -113,6 +113,11 @@
         with self._changed:
             self._remove(kind, name)
 
+    def list_names(self, kind: str) -> list[str]:
+        """Returns the names of all objects of a kind."""
+        with self._changed:
+            return [name for found, name in self._objects if found == kind]
+
     def set_faults(self, **faults: object) -> None:
         """Replaces all faults; waiting calls check the new ones at once."""
         with self._changed:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -18,6 +18,10 @@
 INSTANCE_RECONNECT_MS = 4_000.0
 CONFIG_APPLY_BOUND_MS = 3_000.0
 DRAIN_BOUND_MS = 3_000.0
+# Requests within a window of 4 s, in multiples of a rate limit and beyond that.
+LIMIT_WINDOW_MS = 4_000.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 REPEATED_SEND_SHARE = 0.2
 REPEATED_SEND_SLACK = 54
 REPEATED_SEND_WINDOW_MS = 10_000.0
@@ -61,6 +65,7 @@
         *check_runs(record, runs),
         *check_attempts(record, runs),
         *check_drained(record),
+        *check_rate_limits(record),
         *check_versions(record, runs),
         *check_interruptions(record),
         *check_repeated_sends(record),
@@ -220,6 +225,38 @@
     return problems
 
 
+def check_rate_limits(record: Record) -> list[str]:
+    """Checks that an upstream gets no more than the rate that it names allows.
+
+    Instances that were restarted, frozen or cut off may exceed it for a time.
+    """
+    problems = []
+    for period in record.limit_periods:
+        arrivals = sorted(
+            run.at_ms
+            for run in record.upstream_requests
+            if run.upstream == period.upstream
+        )
+        allowed = (
+            LIMIT_FACTOR * period.rate_per_s * LIMIT_WINDOW_MS / 1_000 + LIMIT_SLACK
+        )
+        first_ms = period.from_ms + INSTANCE_RECONNECT_MS
+        for from_ms in arrivals:
+            until_ms = from_ms + LIMIT_WINDOW_MS
+            if from_ms < first_ms or until_ms > period.until_ms:
+                continue
+            count = sum(from_ms <= at_ms < until_ms for at_ms in arrivals)
+            if count > allowed and not record.is_instance_disturbed(
+                from_ms - INSTANCE_RECONNECT_MS, until_ms
+            ):
+                problems.append(
+                    f"{period.upstream}: {count} requests in 4 s at a limit of "
+                    f"{period.rate_per_s:.1f} a second, allowed {allowed:.0f}"
+                )
+                break
+    return problems
+
+
 def check_versions(record: Record, runs: dict[str, list[UpstreamRequest]]) -> list[str]:
     """Checks that requests are handled by a version that may still be active.
 
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -49,6 +49,8 @@
         ]
         self.upstreams: dict[str, Upstream] = {}
         self.draining: set[str] = set()
+        # Upstreams whose entries were removed while they still serve.
+        self.withdrawn: set[str] = set()
         self.shards = [name_shard(0, n) for n in range(shards)]
         self.replicas = replicas
         self.single_service = SINGLE_SERVICES[0]
@@ -57,6 +59,7 @@
         self._generations = itertools.count(1)
         self._version_numbers = itertools.count(3, 2)
         self._version_prefixes: list[str] = []
+        self._spec: dict = {}
         self._lock = threading.RLock()
         self._stop = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -186,6 +189,7 @@
 
     def withdraw_entry(self, upstream: Upstream) -> None:
         """Removes an upstream's entry without a drain report; it keeps serving."""
+        self.withdrawn.add(upstream.name)
         self.store.remove("servers", upstream.name)
         self._record_drain(upstream)
 
@@ -258,13 +262,31 @@
                     for version_prefix in self._version_prefixes
                 },
             }
-            self.store.write("config", "main", create_spec(number, services, self))
+            self._spec = create_spec(number, services, self)
+            self.store.write("config", "main", self._spec)
             self.record.append_event(
                 ConfigurationVersion(
                     number=number, services=services, acked_ms=now_ms()
                 )
             )
 
+    def write_again(self) -> None:
+        """Writes what operator and upstreams wrote to a store that went back."""
+        with self._lock:
+            self.store.write("config", "main", self._spec)
+            running = list(self.upstreams.values())
+        for upstream in running:
+            if upstream.name not in self.withdrawn:
+                state = "draining" if upstream.name in self.draining else "ready"
+                spec = upstream.describe(state=state)
+                self.store.write("servers", upstream.name, spec)
+
+    def remove_lost_entries(self) -> None:
+        """Removes the entries of upstreams that no longer run or were withdrawn."""
+        for name in self.store.list_names("servers"):
+            if name not in self.upstreams or name in self.withdrawn:
+                self.store.remove("servers", name)
+
     def _probe_until_stop(self) -> None:
         while not self._stop.wait(PROBE_PERIOD_S):
             self.probe_instances()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,9 +7,10 @@
 import threading
 from collections.abc import Callable
 
+from machines.fake_store import StoreCopy
 from soak.cluster import DRAIN_MS, ENTRY_EXPIRY_MS, REPLACEMENT_LEAD_MS, Cluster
 from soak.instances import STOP_GRACE_S
-from soak.record import FaultWindow
+from soak.record import FaultWindow, LimitPeriod
 from soak.upstreams import SPOILS, Upstream, now_ms
 
 FIRST_FAULT_MS = 1_500.0
@@ -204,6 +205,22 @@
     active_ms: float
 
 
+@_frozen
+class LimitUpstream:
+    """An upstream names a limit of `rate_per_s` in all its replies."""
+
+    rate_per_s: float
+    active_ms: float
+
+
+@_frozen
+class RestoreStore:
+    """The store is away for `active_ms` and comes back as it was `age_ms` before."""
+
+    age_ms: float
+    active_ms: float
+
+
 Fault = (
     KillInstance
     | KillAllInstances
@@ -225,6 +242,8 @@
     | CrashUpstream
     | DrainUpstream
     | DegradeUpstream
+    | LimitUpstream
+    | RestoreStore
 )
 
 
@@ -242,7 +261,36 @@
         schedule.append((at_ms, draw_fault(generator, instances)))
         if generator.random() > SIMULTANEOUS_FAULT_PROBABILITY:
             at_ms += generator.expovariate(1.0) * MEAN_FAULT_GAP_MS
-    return schedule
+    return schedule + draw_incident_faults(seed, duration_ms)
+
+
+def draw_incident_faults(seed: int, duration_ms: float) -> list[tuple[float, Fault]]:
+    """Returns limits and restores, from a generator of their own.
+
+    The faults of seeds that were kept as regression cases stay the same beside them.
+    """
+    generator = random.Random(f"incidents {seed}")
+    last_ms = duration_ms - FAULT_FREE_END_MS
+    if last_ms <= FIRST_FAULT_MS:
+        return []
+    limits = [
+        LimitUpstream(
+            rate_per_s=generator.uniform(1.0, 20.0),
+            active_ms=generator.uniform(5_000, 12_000),
+        )
+        for _ in range(generator.randint(1, 3))
+    ]
+    restores = [
+        RestoreStore(
+            age_ms=generator.uniform(500, 5_000),
+            active_ms=generator.uniform(200, 2_000),
+        )
+        for _ in range(generator.randint(0, 1))
+    ]
+    return [
+        (generator.uniform(FIRST_FAULT_MS, last_ms), fault)
+        for fault in (*limits, *restores)
+    ]
 
 
 def draw_fault(generator: random.Random, instances: int) -> Fault:
@@ -396,7 +444,12 @@
             case Reshard():
                 shards = world.start_shards()
                 self._schedule(RESHARD_LEAD_MS, lambda: self._switch_shards(shards))
-            case CrashUpstream() | DrainUpstream() | DegradeUpstream():
+            case RestoreStore(age_ms=age_ms):
+                copy = world.store.take_copy()
+                self._schedule(age_ms, lambda: self._restore_store(fault, copy))
+            case (
+                CrashUpstream() | DrainUpstream() | DegradeUpstream() | LimitUpstream()
+            ):
                 self._apply_upstream_fault(fault)
             case _:
                 self._apply_instance_fault(fault)
@@ -469,6 +522,16 @@
             case ExpireStoreEntries(active_ms=active_ms):
                 self._expire_entries(fault, active_ms)
 
+    def _restore_store(self, fault: RestoreStore, copy: StoreCopy) -> None:
+        world = self._world
+        window_ms = fault.active_ms + ENTRY_EXPIRY_MS + 1_000
+        self._record_window(fault, window_ms)
+        world.store.set_faults(silent=True)
+        world.store.restore(copy)
+        self._schedule(fault.active_ms, world.store.set_faults)
+        self._schedule(fault.active_ms + ENTRY_RETURN_SPREAD_MS / 2, world.write_again)
+        self._schedule(fault.active_ms + ENTRY_EXPIRY_MS, world.remove_lost_entries)
+
     def _expire_entries(self, fault: Fault, active_ms: float) -> None:
         world = self._world
         self._record_window(fault, active_ms + ENTRY_RETURN_SPREAD_MS + 1_000)
@@ -559,6 +622,24 @@
                 faults.share = fault.share
                 faults.held_until_ms = now_ms() + fault.hold_ms
                 self._schedule(active_ms, upstream.behave)
+            case LimitUpstream(rate_per_s=rate_per_s, active_ms=active_ms):
+                from_ms = now_ms()
+                upstream.faults.rate_limit_per_s = rate_per_s
+                self._schedule(
+                    active_ms,
+                    lambda: self._end_limit(upstream, rate_per_s, from_ms),
+                )
+
+    def _end_limit(self, upstream: Upstream, rate_per_s: float, from_ms: float) -> None:
+        upstream.faults.rate_limit_per_s = 0.0
+        self._world.record.append_event(
+            LimitPeriod(
+                upstream=upstream.name,
+                rate_per_s=rate_per_s,
+                from_ms=from_ms,
+                until_ms=now_ms(),
+            )
+        )
 
     def _start_successor(self, fault: CrashUpstream, predecessor: Upstream) -> None:
         """Starts another upstream on the address of one that crashed."""
--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -3,6 +3,16 @@
 import dataclasses
 import threading
 
+# Faults that excuse no instance from the rate limit of an upstream.
+UPSTREAM_AND_STORE_FAULTS = (
+    "CrashUpstream",
+    "DegradeUpstream",
+    "DiscardStoreHistory",
+    "ExpireStoreEntries",
+    "RestoreStore",
+    "StoreOutage",
+)
+
 _frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
 
@@ -95,6 +105,16 @@
     acked_ms: float
 
 
+@_frozen
+class LimitPeriod:
+    """An upstream named a rate limit in all its replies in this time."""
+
+    upstream: str
+    rate_per_s: float
+    from_ms: float
+    until_ms: float
+
+
 @_frozen
 class FaultWindow:
     """Time window in which a fault may have effects.
@@ -126,6 +146,7 @@
         "upstream_requests",
         "versions",
         "upstream_drains",
+        "limit_periods",
         "fault_windows",
         "_lock",
     )
@@ -135,6 +156,7 @@
         self.upstream_requests: list[UpstreamRequest] = []
         self.versions: list[ConfigurationVersion] = []
         self.upstream_drains: list[UpstreamDrain] = []
+        self.limit_periods: list[LimitPeriod] = []
         self.fault_windows: list[FaultWindow] = []
         self._lock = threading.Lock()
 
@@ -144,6 +166,7 @@
         | UpstreamRequest
         | ConfigurationVersion
         | UpstreamDrain
+        | LimitPeriod
         | FaultWindow,
     ) -> None:
         """Appends an event to the list of its kind."""
@@ -157,9 +180,19 @@
                     self.versions.append(event)
                 case UpstreamDrain():
                     self.upstream_drains.append(event)
+                case LimitPeriod():
+                    self.limit_periods.append(event)
                 case FaultWindow():
                     self.fault_windows.append(event)
 
+    def is_instance_disturbed(self, from_ms: float, until_ms: float) -> bool:
+        """Returns whether a fault of instances or their links overlaps a time span."""
+        return any(
+            window.from_ms < until_ms and from_ms < window.until_ms
+            for window in self.fault_windows
+            if not window.fault.startswith(UPSTREAM_AND_STORE_FAULTS)
+        )
+
     def is_fault_free(
         self, from_ms: float, until_ms: float, *, ignore_planned: bool = False
     ) -> bool:
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -47,12 +47,14 @@
         held_until_ms: Nothing is answered before.
         spoil: Which of `SPOILS`, or none.
         share: Share of the replies that are spoilt.
+        rate_limit_per_s: Limit that all replies name; 0 for none.
     """
 
     slowness: float = 1.0
     held_until_ms: float = 0.0
     spoil: str = ""
     share: float = 0.0
+    rate_limit_per_s: float = 0.0
 
 
 def now_ms() -> float:
@@ -98,7 +100,8 @@
 
     def behave(self) -> None:
         """Ends its misbehaviour."""
-        self.faults = Misbehaviour()
+        limit = self.faults.rate_limit_per_s
+        self.faults = Misbehaviour(rate_limit_per_s=limit)
 
     def crash(self) -> None:
         """Stops listening and resets all connections."""
@@ -234,6 +237,9 @@
     def _reply(
         self, status: int, body: bytes, headers: dict, *, length: int | None = -1
     ) -> None:
+        rate_limit_per_s = self.server.faults.rate_limit_per_s
+        if rate_limit_per_s:
+            headers = {**headers, "Server-Limit": f"{rate_limit_per_s:g}"}
         self.send_response_only(status)
         for name, value in headers.items():
             self.send_header(name, value)
