--- a/packages/gooseberrystand/src/gooseberrystand/bench/experiment.py
+++ b/packages/gooseberrystand/src/gooseberrystand/bench/experiment.py
@@ -88,6 +88,15 @@
     faults: dict
 
 
+@_frozen
+class RestorePlatform:
+    """Takes the platform stand-in back to its state of `age_s` seconds before."""
+
+    action: Literal["restore"] = "restore"
+    at_s: float
+    age_s: float
+
+
 @_frozen
 class Publish:
     """Makes another version of an index the current one."""
@@ -98,7 +107,7 @@
     version: str
 
 
-Event = Kill | Restart | Freeze | Control | PlatformFault | Publish
+Event = Kill | Restart | Freeze | Control | PlatformFault | RestorePlatform | Publish
 
 
 @_frozen
--- a/packages/gooseberrystand/src/gooseberrystand/bench/runner.py
+++ b/packages/gooseberrystand/src/gooseberrystand/bench/runner.py
@@ -17,6 +17,7 @@
     PlatformFault,
     Publish,
     Restart,
+    RestorePlatform,
 )
 from gooseberrystand.bench.tally import Tally
 from gooseberrystand.fleet import Fleet
@@ -193,6 +194,8 @@
                     self._fleet.change_behaviour(target, **behaviour)
             case PlatformFault(faults=faults):
                 self._fleet.set_faults(**faults)
+            case RestorePlatform(age_s=age_s):
+                self._fleet.restore_platform(age_ms=age_s * 1000)
             case Publish(index=index, version=version):
                 self._publish(index, version)
 
--- a/packages/gooseberrystand/src/gooseberrystand/fleet.py
+++ b/packages/gooseberrystand/src/gooseberrystand/fleet.py
@@ -339,6 +339,12 @@
             "POST", self._platform_control_port, "/_faults", faults
         )
 
+    def restore_platform(self, *, age_ms: float) -> dict:
+        """Takes the platform stand-in back to its state of `age_ms` ago."""
+        return self.client.call_control(
+            "POST", self._platform_control_port, "/_restore", {"age_ms": age_ms}
+        )
+
     def read_call_counts(self) -> dict:
         """Returns the platform's counts of reads, writes and watches."""
         return self.client.call_control("GET", self._platform_control_port, "/_calls")
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -9,6 +9,8 @@
 SHAPES = (GroupShape(name="order-desk", services=1, servers=2),)
 WAIT_TIMEOUT_MS = 8_000
 POLL_INTERVAL_MS = 30
+# Before a change, so that the state before it has a time of its own.
+RESTORE_MARGIN_MS = 1_000
 
 
 def call_administration(fleet, name, method, path, body=None):
@@ -53,6 +55,30 @@
     return {group["name"]: group["labels"].get("by") for group in shown["groups"]}
 
 
+# Guards against an accepted change that only the memory of the instances holds after
+# the platform went back to a state before it.
+@pytest.mark.processes
+def test_change_accepted_before_a_restore_of_the_platform_is_written_again(tmp_path):
+    fleet = Fleet(folder=tmp_path, shapes=SHAPES)
+    with run_fleet(instances=3, fleet=fleet):
+        fleet.clock.sleep_ms(RESTORE_MARGIN_MS)
+        changed_ms = fleet.clock.now_ms()
+        accepted = propose_change(fleet, "entry-0", "kept", "kept")
+        assert accepted.status == 200, accepted.body
+        generation = accepted.body["generation"]
+        wait_for_generation(fleet, fleet.instances, generation)
+        age_ms = fleet.clock.now_ms() - changed_ms + RESTORE_MARGIN_MS / 2
+        assert fleet.restore_platform(age_ms=age_ms) == {"era": 1}
+        wait_until(
+            fleet,
+            lambda: (
+                fleet.read_object("configuration/current")["value"].get("generation")
+                == generation
+            ),
+        )
+        wait_for_generation(fleet, fleet.instances, generation)
+
+
 @pytest.mark.processes
 def test_change_accepted_before_an_outage_is_in_force_and_outlives_the_platform(
     tmp_path,
