Count no request on a connection to a killed process as an interruption

Nothing was there to read the request. The check now knows when each process was killed, and counts requests sent before that, to later processes, or after any other end as before.

--- a/tests/soak/record.py
+++ b/tests/soak/record.py
@@ -105,6 +105,15 @@
     acked_ms: float
 
 
+@_frozen
+class ProcessExit:
+    """The process of one lifetime of an instance ended at `at_ms`."""
+
+    lifetime: int
+    code: int
+    at_ms: float
+
+
 @_frozen
 class LimitPeriod:
     """An upstream named a rate limit in all its replies in this time."""
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -37,4 +37,8 @@
         replicas=2,
         cause="two contents of one revision of the upstreams' list",
     ),
+    Regression(
+        seed=1_796_403_194,
+        cause="the check took a request on a connection to a killed process for a cut",
+    ),
 )
