Share what an upstream allows between both protocols, and split two modules

Rate limit and pause of an upstream stood twice, in the pools of forwarded requests and in the worker pools; send_limits holds them now, and logs pauses in both. The capacity of a service moved from pool to a module of its own, and the platform's objects and their decoding from platform to platform_objects. No other behaviour changes.

--- a/packages/gooseberrymux/src/gooseberrymux/configuration.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration.py
@@ -18,7 +18,8 @@
 )
 from gooseberrymux.documents import DocumentChanged, Documents, OlderCopyFound
 from gooseberrymux.kernel import Kernel, service
-from gooseberrymux.platform import Platform, VersionConflict, Written
+from gooseberrymux.platform import Platform
+from gooseberrymux.platform_objects import VersionConflict, Written
 from gooseberrymux.proposals import CONFIGURATION_NAME, Proposal
 from gooseberrymux.records import InstanceRecord, UpstreamRecord
 
--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -37,7 +37,8 @@
     DocumentRequest,
 )
 from gooseberrymux.peers import Peers
-from gooseberrymux.platform import Platform, PlatformObject, WatchedChanges
+from gooseberrymux.platform import Platform
+from gooseberrymux.platform_objects import PlatformObject, WatchedChanges
 from gooseberrymux.platform_watch import PlatformWatch
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.watcher_selection import WatcherSelection
--- a/packages/gooseberrymux/src/gooseberrymux/group_commit.py
+++ b/packages/gooseberrymux/src/gooseberrymux/group_commit.py
@@ -26,7 +26,8 @@
     encode_ledger,
 )
 from gooseberrymux.lost_claims import restore_lost_claims
-from gooseberrymux.platform import Platform, PlatformObject, VersionConflict, Written
+from gooseberrymux.platform import Platform
+from gooseberrymux.platform_objects import PlatformObject, VersionConflict, Written
 
 # Pause after a failed platform call; without it, an outage would cause a busy loop.
 RETRY_DELAY_MS = 50
--- a/packages/gooseberrymux/src/gooseberrymux/platform_watch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform_watch.py
@@ -10,7 +10,8 @@
 from gooseberrymux.change_signal import ChangeSignal
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.membership import Membership
-from gooseberrymux.platform import Platform, WatchedChanges
+from gooseberrymux.platform import Platform
+from gooseberrymux.platform_objects import WatchedChanges
 from gooseberrymux.watcher_selection import WatcherSelection
 
 # Pause after the first read, to learn of other members. An instance that knows none
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -11,6 +11,7 @@
 
 from gooseberrymux import forward_exchange, journal, metrics
 from gooseberrymux.budgets import SlidingWindowBudget
+from gooseberrymux.capacity import ServiceCapacity
 from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.forward_exchange import Declined, NotSent, Replied
@@ -22,7 +23,6 @@
 )
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.load_shedding import LoadShedder
 from gooseberrymux.pending_requests import (
     REASON_NO_REPLICA,
     OutcomeCallback,
@@ -61,8 +61,6 @@
 # first send, and too late to help with less than this left of the latency target.
 HEDGE_MIN_MEDIANS = 1.5
 HEDGE_RECHECK_MS = 5.0
-# Lower bound of the exchanges that run at a time, to divide by.
-MIN_PARALLEL = 0.01
 # Retry delay for callers, where no queue length gives an estimate.
 RETRY_AFTER_MS = 200.0
 
@@ -105,8 +103,7 @@
         "_queue",
         "_resend_queue",
         "_budget",
-        "_shedder",
-        "_usual_ms",
+        "_capacity",
         "_limit_ends_ms",
         "_requests",
         "_outbox",
@@ -129,9 +126,7 @@
         self._queue = RankQueue(
             policy=policy, limits=dict.fromkeys(RANKS, forwarding.queue_limit)
         )
-        self._shedder = LoadShedder(policy=policy)
-        # Usual duration of an exchange of the latest request.
-        self._usual_ms = 1.0
+        self._capacity = ServiceCapacity(replicas=self._replicas, policy=policy)
         # When the timer is due that dispatches what waits for a rate limit.
         self._limit_ends_ms = float("inf")
         # Requests to be sent again go before those in `_queue`, which were never sent.
@@ -166,11 +161,10 @@
             if not call.dispatched_before:
                 self._budget.record_first_send(now_ms)
             self._replicas.refresh()
-            self._usual_ms = max(1.0, request.latency.median_ms)
-            self._shedder.record_arrival(call.rank, now_ms)
+            self._capacity.record_arrival(request, now_ms)
             has_waiting = self._resend_queue or len(self._queue)
             in_time = now_ms + request.latency.median_ms <= request.deadline_ms
-            if self._is_shed(request, now_ms):
+            if self._capacity.is_exceeded_by(request, now_ms):
                 self._fail_request(request, REASON_RATE_LIMITED)
             elif (
                 in_time
@@ -243,23 +237,7 @@
         ahead = self._queue.estimate_dispatches_ahead(request.call.rank, prefer) + len(
             self._resend_queue
         )
-        return ahead * request.latency.median_ms / self._count_parallel(now_ms)
-
-    def _count_parallel(self, now_ms: float) -> float:
-        """Returns how many exchanges run at a time on average; above 0."""
-        return max(MIN_PARALLEL, self._replicas.count_parallel(self._usual_ms, now_ms))
-
-    def _is_shed(self, request: PendingRequest, now_ms: float) -> bool:
-        """Returns whether a request exceeds what limited upstreams take together."""
-        if not self._replicas.is_rate_limited(now_ms):
-            return False
-        parallel = self._replicas.count_parallel(self._usual_ms, now_ms)
-        return self._shedder.is_shed(
-            request_id=request.call.request_id,
-            rank=request.call.rank,
-            capacity_per_s=parallel * MS_PER_S / self._usual_ms,
-            now_ms=now_ms,
-        )
+        return ahead * request.latency.median_ms / self._capacity.count_parallel(now_ms)
 
     def _dispatch(self, now_ms: float) -> None:
         """Sends waiting requests while upstreams are free; requires the lock."""
@@ -322,7 +300,7 @@
         """Returns the best free upstream for a request, or for any if it is None."""
         wait_medians = 0.0
         if waiting := len(self._queue) + len(self._resend_queue):
-            wait_medians = waiting / self._count_parallel(now_ms)
+            wait_medians = waiting / self._capacity.count_parallel(now_ms)
         return self._replicas.choose(
             tried=request.tried_upstreams if request else (),
             may_probe=request is not None and request.call.repeatable,
--- a/packages/gooseberrymux/src/gooseberrymux/proposals.py
+++ b/packages/gooseberrymux/src/gooseberrymux/proposals.py
@@ -36,12 +36,8 @@
     ConfigurationError,
 )
 from gooseberrymux.documents import Documents
-from gooseberrymux.platform import (
-    Platform,
-    PlatformObject,
-    VersionConflict,
-    Written,
-)
+from gooseberrymux.platform import Platform
+from gooseberrymux.platform_objects import PlatformObject, VersionConflict, Written
 from gooseberrymux.records import RunState, UpstreamRecord
 
 CONFIGURATION_NAME = "configuration/current"
--- a/packages/gooseberrymux/src/gooseberrymux/rate_limits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/rate_limits.py
@@ -2,10 +2,7 @@
 
 import dataclasses
 
-from gooseberrymux import journal
 from gooseberrymux.clock import MS_PER_S
-from gooseberrymux.records import UpstreamRecord
-from gooseberrymux.upstream_signals import UpstreamSignals
 
 # Tokens that a bucket holds at most, as the time in which they accrue. The limit is in
 # requests a second, so an upstream may get those of one second at once.
@@ -102,45 +99,3 @@
         accrued = (now_ms - self._refilled_ms) / MS_PER_S * self.allowed_per_s
         self._tokens = min(self._capacity, self._tokens + accrued)
         self._refilled_ms = now_ms
-
-
-def update_rate_limit(
-    limit: RateLimit | None,
-    signals: UpstreamSignals,
-    *,
-    record: UpstreamRecord,
-    now_ms: float,
-) -> RateLimit | None:
-    """Returns the limit of an upstream after a reply, and logs what changed.
-
-    Args:
-        limit: The limit before the reply; None if the upstream had none.
-        signals: Signals of the reply. A reply that names no limit ends it.
-        record: The upstream.
-        now_ms: Monotonic time in milliseconds.
-    """
-    before = limit.rate_per_s if limit else None
-    rate_per_s = signals.rate_limit_per_s
-    if rate_per_s is None:
-        limit = None
-    elif limit is None:
-        limit = RateLimit(rate_per_s=rate_per_s, now_ms=now_ms)
-    else:
-        limit.set_rate(rate_per_s, now_ms)
-    if rate_per_s != before:
-        journal.record_event(
-            "upstream.rate_limit",
-            upstream=record.name,
-            epoch=record.epoch,
-            before=before,
-            rate_per_s=rate_per_s,
-        )
-    if limit and (report := limit.take_report(now_ms)):
-        journal.record_event(
-            "upstream.limited",
-            upstream=record.name,
-            rate_per_s=report.rate_per_s,
-            sends=report.sends,
-            period_ms=round(report.period_ms),
-        )
-    return limit
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -102,7 +102,7 @@
             for name, replica in self._replicas.items()
             if name not in excluded
             and not replica.is_ejected(now_ms)
-            and not replica.is_paused(now_ms)
+            and not replica.limits.get_pause_ms(now_ms)
             and not is_leaving(replica.record)
         ]
 
@@ -115,22 +115,22 @@
             now_ms: Monotonic time in milliseconds.
         """
         return sum(
-            replica.count_parallel(median_ms) for replica in self.list_usable(now_ms)
+            replica.limits.count_parallel(replica.record.slots, median_ms)
+            for replica in self.list_usable(now_ms)
         )
 
     def get_pause_ms(self, now_ms: float) -> float:
         """Returns the time in milliseconds until the first pause ends; 0 if none is."""
-        pauses_ms = (
-            replica.paused_until_ms - now_ms
+        pauses_ms = [
+            replica.limits.get_pause_ms(now_ms)
             for replica in self._replicas.values()
-            if replica.is_paused(now_ms)
-            and not self._inventory.is_leaving(replica.record)
-        )
-        return min(pauses_ms, default=0.0)
+            if not self._inventory.is_leaving(replica.record)
+        ]
+        return min((pause_ms for pause_ms in pauses_ms if pause_ms > 0.0), default=0.0)
 
     def is_rate_limited(self, now_ms: float) -> bool:
         """Returns whether a usable upstream names a rate limit."""
-        return any(replica.rate_limit for replica in self.list_usable(now_ms))
+        return any(replica.limits.rate_limit for replica in self.list_usable(now_ms))
 
     def get_limit_wait_ms(self, now_ms: float) -> float | None:
         """Returns the time in milliseconds until a rate limit allows a further send.
@@ -138,9 +138,9 @@
         None if no usable upstream with a free slot waits for its limit.
         """
         waits_ms = [
-            replica.get_limit_wait_ms(now_ms)
+            replica.limits.get_rate_wait_ms(now_ms)
             for replica in self.list_usable(now_ms)
-            if replica.rate_limit and replica.has_free_slot(self._connection_limit)
+            if replica.has_free_slot(self._connection_limit)
         ]
         return min((wait_ms for wait_ms in waits_ms if wait_ms > 0.0), default=None)
 
@@ -169,10 +169,9 @@
         stalled: list[Replica] = []
         any_healthy = False
         for replica in self.list_usable(now_ms, tried):
-            is_available = (
-                replica.has_free_slot(connection_limit)
-                and replica.get_limit_wait_ms(now_ms) == 0.0
-            )
+            is_available = replica.has_free_slot(
+                connection_limit
+            ) and not replica.limits.get_rate_wait_ms(now_ms)
             slowness = replica.get_slowness(now_ms)
             if may_probe and is_available and replica.is_probe_due(now_ms, slowness):
                 return replica
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -3,11 +3,10 @@
 import dataclasses
 
 from gooseberrymux import forward_exchange, journal
-from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.exchange import REASON_DEADLINE
-from gooseberrymux.rate_limits import RateLimit, update_rate_limit
 from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.send_limits import SendLimits
 from gooseberrymux.upstream_health import (
     SERVING,
     Ejected,
@@ -20,7 +19,6 @@
     Shed,
     UpstreamHealth,
 )
-from gooseberrymux.upstream_signals import UpstreamSignals
 
 # An upstream counts as stalled if an exchange has lasted this many times the 95th
 # percentile of its route and no reply came from the upstream since the exchange began:
@@ -66,9 +64,7 @@
         idle: Open connections without an exchange.
         last_reply_ms: When the upstream last replied, in monotonic milliseconds.
         last_send_ms: When the last exchange started, in monotonic milliseconds.
-        rate_limit: The limit that the upstream names, or None if it names none.
-        paused_until_ms: Until when the upstream wants no requests from this instance,
-            in monotonic milliseconds.
+        limits: What the upstream allows to be sent.
     """
 
     __slots__ = (
@@ -78,8 +74,7 @@
         "idle",
         "last_reply_ms",
         "last_send_ms",
-        "rate_limit",
-        "paused_until_ms",
+        "limits",
     )
 
     def __init__(self, *, record: UpstreamRecord):
@@ -89,8 +84,7 @@
         self.idle: list[Connection] = []
         self.last_reply_ms = 0.0
         self.last_send_ms = float("-inf")
-        self.rate_limit: RateLimit | None = None
-        self.paused_until_ms = float("-inf")
+        self.limits = SendLimits()
 
     def has_free_slot(self, limit: int) -> bool:
         """Returns whether the upstream could run another exchange.
@@ -100,21 +94,6 @@
         """
         return len(self.in_flight) < min(self.record.slots, limit)
 
-    def get_limit_wait_ms(self, now_ms: float) -> float:
-        """Returns how long the rate limit forbids a send, in milliseconds; 0 if not."""
-        return self.rate_limit.get_wait_ms(now_ms) if self.rate_limit else 0.0
-
-    def count_parallel(self, median_ms: float) -> float:
-        """Returns how many exchanges the upstream runs at a time on average.
-
-        Args:
-            median_ms: Usual duration of an exchange.
-        """
-        slots = float(self.record.slots)
-        if self.rate_limit is None:
-            return slots
-        return min(slots, self.rate_limit.allowed_per_s * median_ms / MS_PER_S)
-
     def close_idle(self) -> None:
         """Closes the connections without an exchange."""
         for connection in self.idle:
@@ -141,10 +120,6 @@
             case _:
                 return False
 
-    def is_paused(self, now_ms: float) -> bool:
-        """Returns whether the upstream has asked for a pause that has not ended."""
-        return now_ms < self.paused_until_ms
-
     def is_probe_due(self, now_ms: float, slowness: float) -> bool:
         """Returns whether the next request may probe if the upstream has recovered.
 
@@ -183,8 +158,7 @@
         """Records the start of an exchange, which is the probe if an ejection ended."""
         self.in_flight[exchange] = latency
         self.last_send_ms = now_ms
-        if self.rate_limit is not None:
-            self.rate_limit.record_send(now_ms)
+        self.limits.record_send(now_ms)
         match self.evidence.state:
             case Ejected(until_ms=until_ms, ejection_count=ejection_count) if (
                 now_ms >= until_ms
@@ -205,7 +179,7 @@
             ):
                 self.last_reply_ms = now_ms
                 if signals is not None:
-                    self._apply_signals(signals, now_ms)
+                    self.limits.apply(signals, record=self.record, now_ms=now_ms)
         before = self.evidence.state
         observation = create_observation(exchange, result, latency, now_ms)
         self.evidence.observe(observation, now_ms)
@@ -230,21 +204,6 @@
                 self.evidence.state = SERVING
         self._record_change(type(before).__name__, observation, exchange)
 
-    def _apply_signals(self, signals: UpstreamSignals, now_ms: float) -> None:
-        self.rate_limit = update_rate_limit(
-            self.rate_limit, signals, record=self.record, now_ms=now_ms
-        )
-        if signals.pause_ms > 0.0:
-            # Replies to requests that were sent before may arrive in any order.
-            until_ms = max(self.paused_until_ms, now_ms + signals.pause_ms)
-            self.paused_until_ms = until_ms
-            journal.record_event(
-                "upstream.paused",
-                upstream=self.record.name,
-                epoch=self.record.epoch,
-                pause_ms=signals.pause_ms,
-            )
-
     def _record_change(
         self, before: str, observation: Observation, exchange: Exchange
     ) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -20,9 +20,9 @@
     SubrequestOutcome,
     SubrequestUnknown,
 )
-from gooseberrymux.rate_limits import RateLimit, update_rate_limit
 from gooseberrymux.records import Rank, UpstreamRecord
 from gooseberrymux.schedule import RANKS, RankQueue, create_scheduling_policy
+from gooseberrymux.send_limits import SendLimits
 
 REASON_QUEUE_FULL = "queue_full"
 REASON_CANCELLED = "cancelled"
@@ -133,8 +133,7 @@
         "_service_time_ms",
         "_service_time_updated_ms",
         "_last_used_ms",
-        "_rate_limit",
-        "_paused_until_ms",
+        "_limits",
         "_canceller",
         "_on_closed",
     )
@@ -170,8 +169,7 @@
         self._service_time_ms = 0.0
         self._service_time_updated_ms = float("-inf")
         self._last_used_ms = kernel.clock.now_ms()
-        self._rate_limit: RateLimit | None = None
-        self._paused_until_ms = float("-inf")
+        self._limits = SendLimits()
         self._canceller = Canceller(
             kernel=kernel,
             get_record=lambda: self.record,
@@ -200,8 +198,7 @@
         """
         with self._lock:
             if record.epoch != self.record.epoch:
-                self._rate_limit = None
-                self._paused_until_ms = float("-inf")
+                self._limits = SendLimits()
             self.record = record
         self.start()
 
@@ -320,25 +317,20 @@
                     self._worker_count = min(self._worker_count, worker_index)
                     return None
                 now_ms = self._kernel.clock.now_ms()
-                wait_ms = self._get_send_wait_ms(now_ms)
+                wait_ms = self._limits.get_wait_ms(now_ms)
                 if wait_ms > 0.0 and len(self._queue):
                     self._kernel.clock.wait(self._changed, wait_ms)
                     continue
                 item = self._queue.dequeue()
                 if item is not None:
-                    if self._rate_limit is not None and now_ms < item.deadline_ms:
-                        self._rate_limit.record_send(now_ms)
+                    if now_ms < item.deadline_ms:
+                        self._limits.record_send(now_ms)
                     self._running[item.subrequest.id] = item
                     self._unanswered_count += 1
                     return item
                 if not self._kernel.clock.wait(self._changed, POOL_IDLE_TIMEOUT_MS):
                     self._close_if_idle()
 
-    def _get_send_wait_ms(self, now_ms: float) -> float:
-        """Returns how long the upstream wants no request; 0 if it takes one now."""
-        limit_ms = self._rate_limit.get_wait_ms(now_ms) if self._rate_limit else 0.0
-        return max(limit_ms, self._paused_until_ms - now_ms, 0.0)
-
     def _close_if_idle(self) -> None:
         idle_ms = self._kernel.clock.now_ms() - self._last_used_ms
         if (
@@ -392,15 +384,7 @@
             )
         now_ms = self._kernel.clock.now_ms()
         with self._lock:
-            self._rate_limit = update_rate_limit(
-                self._rate_limit,
-                signals,
-                record=record,
-                now_ms=now_ms,
-            )
-            if signals.pause_ms > 0.0:
-                until_ms = max(self._paused_until_ms, now_ms + signals.pause_ms)
-                self._paused_until_ms = until_ms
+            self._limits.apply(signals, record=record, now_ms=now_ms)
 
     def _finish_item(
         self, item: QueuedItem, outcome: SubrequestOutcome
@@ -433,10 +417,10 @@
 
     def _estimate_wait_ms(self, rank: Rank, now_ms: float) -> float:
         """Estimates how long a new item of `rank` would wait to be sent."""
-        send_wait_ms = self._get_send_wait_ms(now_ms)
-        if self._rate_limit is not None:
+        send_wait_ms = self._limits.get_wait_ms(now_ms)
+        if limit := self._limits.rate_limit:
             ahead = self._queue.estimate_dispatches_ahead(rank)
-            return send_wait_ms + ahead * MS_PER_S / self._rate_limit.allowed_per_s
+            return send_wait_ms + ahead * MS_PER_S / limit.allowed_per_s
         if send_wait_ms > 0.0:
             return send_wait_ms
         if len(self._running) < self._connection_limit and not len(self._queue):
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -21,6 +21,8 @@
 from gooseberrymux.peers import Peers
 from gooseberrymux.platform import (
     Platform,
+)
+from gooseberrymux.platform_objects import (
     PlatformError,
     PlatformObject,
     VersionConflict,
--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -32,6 +32,8 @@
 from gooseberrymux.peers import PeerError, Peers
 from gooseberrymux.platform import (
     Platform,
+)
+from gooseberrymux.platform_objects import (
     PlatformError,
     PlatformObject,
     VersionConflict,
--- a/tests/test_lost_claims.py
+++ b/tests/test_lost_claims.py
@@ -4,7 +4,7 @@
 from gooseberrymux.group_commit import Committer, PendingCommand
 from gooseberrymux.ledger import Claimed, Found
 from gooseberrymux.lost_claims import restore_lost_claims
-from gooseberrymux.platform import PlatformObject
+from gooseberrymux.platform_objects import PlatformObject
 from order_simulation import KEYS
 from test_ledger import (
     apply,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,13 +9,8 @@
 from result import Err, Ok
 
 from control_fakes import create_kernel
-from gooseberrymux.platform import (
-    BODY_LIMIT_BYTES,
-    Platform,
-    PlatformObject,
-    VersionConflict,
-    Written,
-)
+from gooseberrymux.platform import BODY_LIMIT_BYTES, Platform
+from gooseberrymux.platform_objects import PlatformObject, VersionConflict, Written
 from gooseberrymux.records import RunState
 
 
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -8,8 +8,10 @@
 from control_fakes import CONFIGURATION_NAME, Network, create_document
 from gooseberrymux.membership import MemberChanged
 from gooseberrymux.platform import (
-    MalformedObject,
     Platform,
+)
+from gooseberrymux.platform_objects import (
+    MalformedObject,
     PlatformError,
     PlatformObject,
     WatchedChanges,
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -13,7 +13,7 @@
 from gooseberrymux.configuration_codec import encode_configuration
 from gooseberrymux.configuration_model import EMPTY_CONFIGURATION
 from gooseberrymux.inventory import INVENTORY_NAME
-from gooseberrymux.platform import PlatformObject, WatchedChanges
+from gooseberrymux.platform_objects import PlatformObject, WatchedChanges
 
 
 class Instance:
