--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -160,6 +160,7 @@
     def _run_single(self, request: RoutedRequest, name: str, inbox: Inbox) -> Result:
         budget = DispatchBudget(request=request, limit=request.route.attempts)
         call_ids = self._send(request, [name], budget, inbox)
+        stops = False
         while True:
             for event in inbox.dequeue_all(
                 request.deadline_ms - self._answer_margin_ms
@@ -170,8 +171,8 @@
                         self._log_ended(request, "caller left", service=name)
                         return event
                     case StopWaiting():
-                        self._parts.cancel(call_ids)
-                        return self._refuse_stopping(request, name)
+                        # A reply that has arrived as well is still passed on.
+                        stops = True
                     case PartReplied():
                         self._log_reply(request, event)
                         reply = HttpReply(
@@ -184,6 +185,9 @@
                         call_ids = self._send(request, [name], budget, inbox)
                     case _:
                         return self._refuse_single(request, event)
+            if stops:
+                self._parts.cancel(call_ids)
+                return self._refuse_stopping(request, name)
             if (
                 self._kernel.clock.now_ms()
                 >= request.deadline_ms - self._answer_margin_ms
