--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -284,7 +284,7 @@
         if found.name.startswith(tuple(self._content_compared_prefixes)) and (
             get_era(known.generation) <= era
         ):
-            # Its generation is a position of the platform, which goes on from there.
+            # The generation is a position that the platform itself goes on from.
             return
         journal.record_event(
             "documents.older_copy",
