Show that silent connections to the store hold back a version

Cause: a watch whose connection went silent is given up only after 7 s, and all watchers start their watches with the same event.

--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -7,6 +7,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -28,6 +29,9 @@
 # A server reads no more than this beyond the head of a request.
 SERVER_READ_BYTES = 512
 READY_TIMEOUT_S = 30.0
+PORTS_FROM = 20_000
+PORTS_TO = 30_000
+USED_PORTS = set()
 RUN_LIMIT_S = 115
 EXIT_HELD = 0
 EXIT_BROKEN = 1
@@ -121,6 +125,9 @@
         self._changed = threading.Condition()
         # Ports on which calls get no answer at present.
         self._silent_ports = set()
+        # Connections that are open, and those that have gone silent for good.
+        self._open = set()
+        self._silent = set()
         self._listeners = []
 
     def open_port(self):
@@ -169,7 +176,26 @@
             self._silent_ports = set(ports)
             self._changed.notify_all()
 
+    def silence_connections(self):
+        """Makes all open connections silent for good; new ones work.
+
+        Returns:
+            How many there were.
+        """
+        with self._changed:
+            self._silent |= self._open
+            return len(self._silent)
+
     def _serve(self, sock, port):
+        with self._changed:
+            self._open.add(sock)
+        try:
+            self._serve_calls(sock, port)
+        finally:
+            with self._changed:
+                self._open.discard(sock)
+
+    def _serve_calls(self, sock, port):
         stream = sock.makefile("rb")
         while head := read_head(stream):
             line, headers = head
@@ -179,6 +205,8 @@
             with self._changed:
                 while port in self._silent_ports:
                     self._changed.wait()
+                if sock in self._silent:
+                    continue
             data = json.dumps(body).encode()
             reply = (
                 f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
@@ -337,10 +365,19 @@
 
 
 def find_free_port():
-    """Returns a port of the loopback address that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Returns a port of the loopback address that is free and not used before.
+
+    It is outside of the range from which the system gives out ports, so that no
+    connection takes it before the instance listens.
+    """
+    while True:
+        port = random.randrange(PORTS_FROM, PORTS_TO)
+        if port in USED_PORTS:
+            continue
+        USED_PORTS.add(port)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            return port
 
 
 class Instance:
