--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -559,7 +559,7 @@
     try:
         held = case(record, store, fleet)
         code = EXIT_HELD if held else EXIT_BROKEN
-    except (NotRunError, OSError) as error:
+    except Exception as error:
         record.write(f"could not run: {error!r}")
         code = EXIT_NOT_RUN
     finally:
