--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -11,7 +11,6 @@
 import shutil
 import signal
 import socket
-import struct
 import subprocess
 import sys
 import tempfile
@@ -25,7 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
-PAGE_SIZE = 50
+PAGE_SIZE = 500
 # A server reads no more than this beyond the head of a request.
 SERVER_READ_BYTES = 512
 READY_TIMEOUT_S = 30.0
@@ -33,6 +32,11 @@
 PORTS_TO = 30_000
 USED_PORTS = set()
 RUN_LIMIT_S = 115
+HEARTBEAT_S = 1.2  # heartbeatMs
+# An entry of kind `servers` is removed after so many pings were missing.
+MISSED_PINGS = 3
+# How often a server looks whether the caller has closed its connection.
+LOOK_S = 0.002
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_RUN = 2
@@ -113,8 +117,8 @@
 class Store:
     """The platform's store: objects by kind, one revision counter, lists and watches.
 
-    Each instance has a port of its own here, so that the store can turn away single
-    machines.
+    Entries of kind `servers` are removed after three pings of silence. Writes of the
+    operator and of the servers are calls of its methods.
     """
 
     def __init__(self, record):
@@ -123,16 +127,55 @@
         self._events = []
         self._revision = 1
         self._changed = threading.Condition()
-        # Ports on which calls get no answer at present.
-        self._silent_ports = set()
         # Connections that are open, and those that have gone silent for good.
         self._open = set()
         self._silent = set()
         self._listeners = []
+        # When each entry of kind `servers` was written last.
+        self._pinged_at = {}
+        threading.Thread(target=self._remove_lapsed, daemon=True).start()
+
+    def ping(self, name, spec):
+        """Writes an entry of kind `servers`, as its writer does every heartbeat.
+
+        The entry changes only if more than its `sequence` does.
+        """
+        with self._changed:
+            self._pinged_at[name] = time.monotonic()
+            known = self._objects.get(("servers", name))
+            if known is not None and {**known["spec"], "sequence": 0} == {
+                **spec,
+                "sequence": 0,
+            }:
+                known["spec"]["sequence"] = spec["sequence"]
+                return
+        self.put("servers", name, dict(spec))
+
+    def start_writer(self, name, spec):
+        """Writes an entry now and every heartbeat from then on."""
+
+        def write():
+            sequence = 1
+            while True:
+                time.sleep(HEARTBEAT_S)
+                sequence += 1
+                self.ping(name, {**spec, "sequence": sequence})
+
+        self.ping(name, spec)
+        threading.Thread(target=write, daemon=True).start()
+
+    def _remove_lapsed(self):
+        while True:
+            time.sleep(HEARTBEAT_S / 4)
+            now = time.monotonic()
+            for name, pinged_at in list(self._pinged_at.items()):
+                if now - pinged_at > MISSED_PINGS * HEARTBEAT_S:
+                    del self._pinged_at[name]
+                    self.remove("servers", name)
 
     def open_port(self):
         """Returns a new port of the store."""
-        listener = Listener(lambda sock: self._serve(sock, listener.port))
+        listener = Listener(self._serve)
         self._listeners.append(listener)
         return listener.port
 
@@ -170,12 +213,6 @@
                 self._events.append((self._revision, kind, item, True))
                 self._changed.notify_all()
 
-    def set_silent(self, ports):
-        """Makes calls on these ports, and on no others, get no answer."""
-        with self._changed:
-            self._silent_ports = set(ports)
-            self._changed.notify_all()
-
     def silence_connections(self):
         """Makes all open connections silent for good; new ones work.
 
@@ -186,25 +223,23 @@
             self._silent |= self._open
             return len(self._silent)
 
-    def _serve(self, sock, port):
+    def _serve(self, sock):
         with self._changed:
             self._open.add(sock)
         try:
-            self._serve_calls(sock, port)
+            self._serve_calls(sock)
         finally:
             with self._changed:
                 self._open.discard(sock)
 
-    def _serve_calls(self, sock, port):
+    def _serve_calls(self, sock):
         stream = sock.makefile("rb")
         while head := read_head(stream):
             line, headers = head
             stream.read(int(headers.get("content-length", 0)))
             method, target, _ = line.split(" ", 2)
-            status, body = self._handle(method, target, port)
+            status, body = self._handle(method, target)
             with self._changed:
-                while port in self._silent_ports:
-                    self._changed.wait()
                 if sock in self._silent:
                     continue
             data = json.dumps(body).encode()
@@ -214,7 +249,7 @@
             )
             sock.sendall(reply.encode() + data)
 
-    def _handle(self, method, target, port):
+    def _handle(self, method, target):
         parts = urlsplit(target)
         query = dict(parse_qsl(parts.query))
         path = unquote(parts.path).removeprefix("/-/objects/")
@@ -222,7 +257,7 @@
         if method != "GET":
             return 404, {}
         if "watch" in query:
-            return self._watch(kind, query, port)
+            return self._watch(kind, query)
         with self._changed:
             if name:
                 item = self._objects.get((kind, name))
@@ -236,7 +271,7 @@
                 "storeRevision": self._revision,
             }
 
-    def _watch(self, kind, query, port):
+    def _watch(self, kind, query):
         start = int(query["watch"])
         give_up = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         with self._changed:
@@ -247,7 +282,7 @@
                     if found == kind and revision > start
                 ]
                 left = give_up - time.monotonic()
-                if events or (left <= 0 and port not in self._silent_ports):
+                if events or left <= 0:
                     return 200, {"events": events, "storeRevision": self._revision}
                 self._changed.wait(max(0.01, left))
 
@@ -256,16 +291,18 @@
     """One request at a server.
 
     Attributes:
-        method, target, headers, body: The request as the server read it.
+        method, target, headers: The head of the request as the server read it.
         sock, stream: The connection.
+        deadline: When the time budget that the server was given ends.
     """
 
-    def __init__(self, *, line, headers, body, sock, stream):
+    def __init__(self, *, line, headers, sock, stream):
         self.method, self.target, _ = line.split(" ", 2)
         self.headers = headers
-        self.body = body
         self.sock = sock
         self.stream = stream
+        budget_s = int(headers.get("x-deadline-ms", 10_000)) / 1000
+        self.deadline = time.monotonic() + budget_s
 
     @property
     def id(self):
@@ -284,6 +321,16 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+def is_closed(sock):
+    """Returns whether the other side has closed a connection."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 class Server:
     """One server of a service.
 
@@ -291,13 +338,18 @@
         name: Its id in the store.
         service: Its service.
         handle: Called with each request in the thread of its connection; answers it.
+        slots: Requests that it runs at the same time.
+        queue: Requests that wait for a slot at most.
     """
 
-    def __init__(self, record, *, name, service, zone, handle, slots=2, **sizes):
+    def __init__(self, *, name, service, zone, handle=None, slots=2, queue=12, **sizes):
         self.name = name
         self.service = service
-        self._record = record
-        self._handle = handle
+        self._handle = handle or answer
+        self._slots = threading.Semaphore(slots)
+        self._queue = queue
+        self._waiting = 0
+        self._lock = threading.Lock()
         self._listener = Listener(self._serve, **sizes)
         self.spec = {
             "service": service,
@@ -311,12 +363,45 @@
             "born": int(time.time() * 1000),
         }
 
+    def work(self, run, work_s, on_begin):
+        """Runs a request in a slot, after waiting for one.
+
+        Returns:
+            The status to answer with: 200; 503 if the request has not run; 504 at its
+            time budget; None if the caller has closed the connection.
+        """
+        with self._lock:
+            if self._waiting >= self._queue:
+                return 503
+            self._waiting += 1
+        try:
+            while not self._slots.acquire(timeout=LOOK_S):
+                if is_closed(run.sock):
+                    return None
+                if time.monotonic() >= run.deadline:
+                    return 503
+        finally:
+            with self._lock:
+                self._waiting -= 1
+        try:
+            on_begin(self, run)
+            until = time.monotonic() + work_s
+            while (left := until - time.monotonic()) > 0:
+                if is_closed(run.sock):
+                    return None
+                if time.monotonic() >= run.deadline:
+                    return 504
+                time.sleep(min(LOOK_S, left))
+            return 200
+        finally:
+            self._slots.release()
+
     def _serve(self, sock):
         stream = sock.makefile("rb", buffering=SERVER_READ_BYTES)
         while head := read_head(stream):
             line, headers = head
             length = int(headers.get("content-length", 0))
-            run = Run(line=line, headers=headers, body=None, sock=sock, stream=stream)
+            run = Run(line=line, headers=headers, sock=sock, stream=stream)
             if headers.get("x-target-instance") not in (None, self.name):
                 stream.read(length)
                 sock.sendall(encode_answer(run, self.name, 421, stamp=False))
@@ -324,6 +409,29 @@
             self._handle(self, run, length)
 
 
+def answer(server, run, length, *, work_s=0.005, on_begin=lambda server, run: None):
+    """Reads a request, runs it and answers it, as a sound server does."""
+    run.stream.read(length)
+    match server.work(run, work_s, on_begin):
+        case None:
+            raise ValueError("the caller has closed the connection")
+        case 503:
+            reject(server, run)
+        case status:
+            body = b"ok" if status == 200 else b""
+            run.sock.sendall(encode_answer(run, server.name, status, body))
+
+
+def encode_rejection(run, server):
+    """Returns the bytes of the answer that a request has not run."""
+    return encode_answer(run, server, 503, stamp=False, X_Not_Executed="1")
+
+
+def reject(server, run):
+    """Answers that a request has not run."""
+    run.sock.sendall(encode_rejection(run, server.name))
+
+
 def create_config(version, routes, services):
     """Returns a desired state."""
     return {
@@ -445,8 +553,8 @@
 
     def is_ready(self):
         """Returns whether the instance reports itself ready."""
-        with contextlib.suppress(OSError, ValueError, TypeError):
-            return get(self.ready, "/-/ready", timeout_s=1.0).status == 200
+        with contextlib.suppress(OSError):
+            return get(self.ready, "/-/ready").status == 200
         return False
 
     def kill(self):
@@ -517,31 +625,36 @@
         self.body = body
 
 
-def get(port, path, timeout_s=12.0, method="GET", body=b"", **headers):
-    """Sends a request on a new connection and returns the answer."""
+def get(port, path, method="GET", body=b"", **headers):
+    """Sends a request on a new connection and returns the answer.
+
+    Waits as long as `X_Deadline_Ms` says; the status is None if there is none by then.
+    """
     fields = {"Host": "pupu76.example"}
     fields |= {name.replace("_", "-"): value for name, value in headers.items()}
     if body or method != "GET":
         fields["Content-Length"] = len(body)
     lines = [f"{method} {path} HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items())]
-    with socket.create_connection((HOST, port), timeout=timeout_s) as sock:
-        sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
-        stream = sock.makefile("rb")
-        head = read_head(stream)
-        if head is None:
-            return Answer()
-        line, found = head
-        length = int(found.get("content-length", 0))
-        data = stream.read(length)
-        if len(data) < length:
+    wait_s = int(headers.get("X_Deadline_Ms", 1_000)) / 1000
+    with socket.create_connection((HOST, port), timeout=wait_s) as sock:
+        try:
+            sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode() + body)
+            return read_answer(sock.makefile("rb"))
+        except OSError:
             return Answer()
-        return Answer(int(line.split()[1]), found, data)
 
 
-def reset(sock):
-    """Closes a connection with a reset."""
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    sock.close()
+def read_answer(stream):
+    """Returns the next answer of a connection."""
+    head = read_head(stream)
+    if head is None:
+        return Answer()
+    line, headers = head
+    length = int(headers.get("content-length", 0))
+    data = stream.read(length)
+    if len(data) < length:
+        return Answer()
+    return Answer(int(line.split()[1]), headers, data)
 
 
 def run_case(folder, case):
