Start the killed process again and drop what its callers have left

Cause: the platform restarts a killed process, and most servers drop a request whose connection closes; the script did neither.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,30 +18,34 @@
 KILL_AFTER_S = 0.6
 SERVER_ZONES = ("a", "a", "b", "b", "c")
 SLOTS = 6
+QUEUE = 24
+# The platform starts a killed process again after a short delay.
+RESTART_DELAY_S = 0.5
 
 
 def run_case(record, store, fleet):
     """Returns whether requests ran on no more servers than their route allows."""
     runs = collections.defaultdict(set)
 
-    def handle(server, run, length):
-        run.stream.read(length)
+    def record_run(server, run):
         runs[run.id].add(server.name)
         if run.id.startswith("long"):
             record.write(f"{server.name} begins {run.id}")
-        time.sleep(LONG_WORK_S if run.id.startswith("long") else USUAL_WORK_S)
-        run.sock.sendall(stand.encode_answer(run, server.name, body=b"ok"))
+
+    def handle(server, run, length):
+        work_s = LONG_WORK_S if run.id.startswith("long") else USUAL_WORK_S
+        stand.answer(server, run, length, work_s=work_s, on_begin=record_run)
 
     for number, zone in enumerate(SERVER_ZONES, 1):
         server = stand.Server(
-            record,
             name=f"i-{number}",
             service="archive",
             zone=zone,
             handle=handle,
             slots=SLOTS,
+            queue=QUEUE,
         )
-        store.put("servers", server.name, server.spec)
+        store.start_writer(server.name, server.spec)
     routes = [
         stand.create_route("r-1", "/timi402/", "archive", maxAttempts=MAX_ATTEMPTS)
     ]
@@ -78,6 +82,9 @@
     if stand.TROUBLE:
         givers[0].kill()
         record.write(f"{givers[0].name} was killed")
+        time.sleep(RESTART_DELAY_S)
+        givers[0].start(fleet.seeds)
+        record.write(f"{givers[0].name} was started again")
     for thread in threads:
         thread.join()
     time.sleep(1.0)
