Send a failed request again only on a socket that has not carried it

Both upstreams of a service shed it, and the second send went out on the socket that had brought the rejection. The upstream sent that rejection once more, late. It bears the request's id, so it was taken for the reply to the second send; the order counted as not run and went to the other upstream, while the first one ran it.

Cause: a reply is matched by the request's id, and one socket may carry the same id more than once. A copy of an earlier failure (503, 421 or 5xx) can't be told from the reply to a later send there.

Change: a connection knows the requests that have failed on its open socket, until their deadlines. Such a request gets another idle connection, or a new socket. An abandoned socket can't bring a copy to anybody.

Related paths: sub-requests of the product's own protocol have an id for each dispatch (Calls.create_id), and none is sent twice on a connection.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -109,6 +109,7 @@
         "_closed",
         "_buffer",
         "_last_proof",
+        "_failed_ids",
     )
 
     def __init__(
@@ -133,12 +134,23 @@
         self._closed = False
         self._buffer = memoryview(bytearray(READ_BUFFER_BYTES))
         self._last_proof = ""
+        # Requests that got a failure on the open socket, by request id: the monotonic
+        # time of their deadline in milliseconds.
+        self._failed_ids: dict[str, float] = {}
 
     @property
     def is_open(self) -> bool:
         """Whether the socket is open and not known to have failed."""
         return self._socket is not None
 
+    def has_failed(self, request_id: str) -> bool:
+        """Returns whether a request got a failure on the open socket.
+
+        The upstream may send that failure once more, late. If the request were sent
+        again on this socket, the copy would be taken for the reply to the second send.
+        """
+        return request_id in self._failed_ids
+
     def start_exchange(self, exchange: Exchange) -> None:
         """Starts an exchange without blocking; the previous one must have finished."""
         with self._condition:
@@ -191,11 +203,11 @@
     def _try_write(self, exchange: Exchange) -> bool:
         """Starts writing a request to the open socket, without blocking.
 
-        Returns False, with nothing written, if the socket is closed, has failed or was
-        idle for too long.
+        Returns False, with nothing written, if the socket is closed, has failed, was
+        idle for too long or has brought a failure of the same request.
         """
         sock = self._socket
-        if sock is None:
+        if sock is None or self.has_failed(exchange.call.request_id):
             return False
         idle_ms = self._clock.now_ms() - self._last_used_ms
         limit_ms = self._idle_limit_ms
@@ -283,6 +295,7 @@
             self._socket = sock
             self._idle_limit_ms = float("inf")
             self._last_proof = ""
+            self._failed_ids = {}
         if reason := self._find_obstacle(exchange):
             self._close_socket()
             return NotSent(reason=reason)
@@ -362,12 +375,26 @@
         )
         if self._is_repeated(reply, result):
             result = Broken(reason=REASON_FOREIGN)
+        self._record_failure(exchange, result)
         if parser.has_excess:
             # Bytes after a complete reply belong to no request.
             metrics.dropped_total.inc({"reason": "bytes_after_reply"})
         must_close = reply.closes_connection or parser.has_excess
         return result, not (must_close or isinstance(result, Broken))
 
+    def _record_failure(self, exchange: Exchange, result: Result) -> None:
+        """Remembers a request that may be sent again after its reply."""
+        match result:
+            case Replied(reply=reply) if not reply.is_server_error:
+                return
+        now_ms = self._clock.now_ms()
+        pending = {
+            request_id: deadline_ms
+            for request_id, deadline_ms in self._failed_ids.items()
+            if deadline_ms > now_ms
+        }
+        self._failed_ids = pending | {exchange.call.request_id: exchange.deadline_ms}
+
     def _is_repeated(self, reply: ParsedReply, result: Result) -> bool:
         """Returns whether a reply is the previous one of this connection once more.
 
--- a/packages/gooseberrymux/src/gooseberrymux/http_types.py
+++ b/packages/gooseberrymux/src/gooseberrymux/http_types.py
@@ -64,6 +64,11 @@
         """Whether the status is in the range 200 to 299."""
         return 200 <= self.status < 300
 
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the status is 500 or higher."""
+        return self.status >= 500
+
 
 def find_header(headers: Headers, name: str) -> str | None:
     """Returns the first value of a header, by name in lower case, or None."""
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -45,7 +45,6 @@
 CAUSE_FIRST = "first"
 CAUSE_HEDGE = "hedge"
 CAUSE_RETRY = "retry"
-STATUS_SERVER_ERROR = 500
 # Part of the permitted share of extra sends that is used. The owner counts a send when
 # it leaves and the upstream when it arrives, so one near the edge of a window may fall
 # into another window there. The unused part allows for such sends.
@@ -314,7 +313,10 @@
         latency = request.latency
         probing = replica.is_probe_due(now_ms, replica.get_slowness(now_ms))
         connection = self._replicas.acquire_connection(
-            replica, finish=self._handle_result, remove_idle=self._remove_idle
+            replica,
+            request_id=request.call.request_id,
+            finish=self._handle_result,
+            remove_idle=self._remove_idle,
         )
         exchange = PoolExchange(
             call=request.call,
@@ -453,7 +455,7 @@
                     queued_ms=(request.first_send_ms or now_ms) - request.arrived_ms,
                     upstream_ms=elapsed_ms,
                 )
-                if reply.status < STATUS_SERVER_ERROR:
+                if not reply.is_server_error:
                     self._dependencies.latencies.record(
                         route=request.call.route, duration_ms=elapsed_ms
                     )
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -205,6 +205,7 @@
         self,
         replica: Replica,
         *,
+        request_id: str,
         finish: ResultHandler,
         remove_idle: Callable[[Replica, Connection], bool],
     ) -> Connection:
@@ -212,11 +213,13 @@
 
         Args:
             replica: The upstream.
+            request_id: The caller's id of the request to be sent; a connection on which
+                it has failed is used only if there is no other, and opens a new socket.
             finish: Called with each result, in the connection's thread.
             remove_idle: Asked by that thread whether an unused connection may end.
         """
-        if replica.idle:
-            return replica.idle.pop()
+        if connection := replica.pop_idle(request_id):
+            return connection
         connection = Connection(
             record=replica.record,
             clock=self._kernel.clock,
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -94,6 +94,17 @@
         """
         return len(self.in_flight) < min(self.record.slots, limit)
 
+    def pop_idle(self, request_id: str) -> Connection | None:
+        """Removes and returns an idle connection, or None if there is none.
+
+        Args:
+            request_id: A connection on which this request has failed comes last.
+        """
+        for index in reversed(range(len(self.idle))):
+            if not self.idle[index].has_failed(request_id):
+                return self.idle.pop(index)
+        return self.idle.pop() if self.idle else None
+
     def close_idle(self) -> None:
         """Closes the connections without an exchange."""
         for connection in self.idle:
@@ -231,7 +242,7 @@
     match result:
         case forward_exchange.NotSent(reason=reason) if reason in OWN_REASONS:
             return NoEvidence()
-        case forward_exchange.Replied(reply=reply) if reply.status >= 500:
+        case forward_exchange.Replied(reply=reply) if reply.is_server_error:
             return Failed()
         case forward_exchange.Replied(elapsed_ms=elapsed_ms):
             return Replied(
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -267,6 +267,35 @@
     assert third.reply.body == b"/a/3"
 
 
+@pytest.mark.parametrize(
+    "failure",
+    [{"status": 503, "x_not_run": "1"}, {"status": 421}, {"status": 500}],
+    ids=["shed", "misdirected", "failed"],
+)
+def test_a_late_copy_of_a_failure_is_not_the_reply_to_the_next_send(
+    start_upstream, failure
+):
+    """Guards against a request that runs twice: a copy says again that it did not run.
+
+    The upstream sends the failure of the first send once more when the second send of
+    the same request arrives on that socket.
+    """
+    copies = {}
+
+    def answer(request):
+        if len(upstream.requests) == 1:
+            copies[request.sock] = request.create_reply(proof="", **failure)
+            request.sock.sendall(copies[request.sock])
+            return
+        request.sock.sendall(copies.pop(request.sock, b""))
+        request.reply(200, b"ran")
+
+    upstream, driver = start_upstream(answer)
+    assert not isinstance(run_exchange(driver, ORDER), Broken)
+    result = run_exchange(driver, ORDER)
+    assert isinstance(result, Replied) and result.reply.body == b"ran"
+
+
 def test_a_kept_connection_that_the_upstream_closed_is_replaced(start_upstream):
     def answer(request):
         request.reply(200, b"x")
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -341,6 +341,34 @@
     assert isinstance(outcome, PartReplied) and outcome.upstream == "u2"
 
 
+def test_an_order_that_all_have_shed_runs_once_despite_late_copies(owner):
+    """Guards against an order that runs on two upstreams.
+
+    Both shed its first send. A late copy of the rejection must not be taken for the
+    reply to the second send, after which the order would go to the other upstream too.
+    """
+    copies, runs = {}, []
+
+    def shed_first(request):
+        if request.headers["x-target-upstream"] not in copies:
+            reply = request.create_reply(503, proof="", x_not_run="1")
+            copies[request.headers["x-target-upstream"]] = (request.sock, reply)
+            request.sock.sendall(reply)
+            return
+        sock, reply = copies[request.headers["x-target-upstream"]]
+        runs.append(request.headers["x-target-upstream"])
+        if request.sock is sock:
+            request.sock.sendall(reply)
+        answer(request)
+
+    owner.add_upstream("u1", shed_first)
+    owner.add_upstream("u2", shed_first)
+    owner.submit(repeatable=False)
+    (outcome,) = owner.wait_for_outcomes()
+    assert isinstance(outcome, PartReplied)
+    assert len(runs) == 1
+
+
 def test_shed_everywhere_it_is_refused_as_not_run(owner):
     owner.add_upstream("u1", shed)
     owner.add_upstream("u2", shed)
