Do not use a socket again after a failure that names no request

A rejection or failure without the request's id and without a proof can't be told from a late copy of it. If the copy came when the next request had just been sent on that socket, that request was taken as not run or failed while the upstream ran it; an order then ran twice, and the reply that followed could be given to a third request.

Proofs of successes were compared already, nothing covered the rest.

Change: the socket is closed after such a reply.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -379,8 +379,28 @@
         if parser.has_excess:
             # Bytes after a complete reply belong to no request.
             metrics.dropped_total.inc({"reason": "bytes_after_reply"})
-        must_close = reply.closes_connection or parser.has_excess
-        return result, not (must_close or isinstance(result, Broken))
+        must_close = (
+            reply.closes_connection
+            or parser.has_excess
+            or isinstance(result, Broken)
+            or not self._is_copy_recognizable(reply, result)
+        )
+        return result, not must_close
+
+    def _is_copy_recognizable(self, reply: ParsedReply, result: Result) -> bool:
+        """Returns whether a late copy of a reply would not pass for the next reply.
+
+        It would if the reply names no request, neither by its id nor by a proof.
+        """
+        match result:
+            case Replied(proof=proof) if proof:
+                return True
+            case _:
+                return self._has_request_id(reply)
+
+    def _has_request_id(self, reply: ParsedReply) -> bool:
+        name = self._names.request_id.lower()
+        return find_header(reply.headers, name) is not None
 
     def _record_failure(self, exchange: Exchange, result: Result) -> None:
         """Remembers a request that may be sent again after its reply."""
@@ -408,7 +428,7 @@
                 return False
         if proof != before:
             return False
-        if find_header(reply.headers, self._names.request_id.lower()) is not None:
+        if self._has_request_id(reply):
             return False
         metrics.dropped_total.inc({"reason": "repeated_reply"})
         return True
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -296,6 +296,36 @@
     assert isinstance(result, Replied) and result.reply.body == b"ran"
 
 
+@pytest.mark.parametrize(
+    "failure",
+    [{"status": 503, "x_not_run": "1"}, {"status": 421}, {"status": 500}],
+    ids=["shed", "misdirected", "failed"],
+)
+def test_a_failure_that_names_no_request_is_given_to_one_request_only(
+    start_upstream, failure
+):
+    """Guards against an order that is taken as not run, or failed, while it runs.
+
+    The reply to the request before bears neither id nor proof, and a copy of it arrives
+    when the order has just been sent on the same socket.
+    """
+    copies = {}
+
+    def answer(request):
+        if len(upstream.requests) == 1:
+            reply = request.create_reply(proof="", echo=False, **failure)
+            copies[request.sock] = reply
+            request.sock.sendall(reply)
+            return
+        request.sock.sendall(copies.pop(request.sock, b""))
+        request.reply(200, b"ran")
+
+    upstream, driver = start_upstream(answer)
+    assert not isinstance(run_exchange(driver), Broken)
+    result = run_exchange(driver, ORDER)
+    assert isinstance(result, Replied) and result.reply.body == b"ran"
+
+
 def test_a_kept_connection_that_the_upstream_closed_is_replaced(start_upstream):
     def answer(request):
         request.reply(200, b"x")
