Grant owners each further attempt of a part, so that lost ones keep to the limit

Cause: an owner got all attempts of the route with the part, and a lost one was counted with one attempt, whatever it had sent. With maxAttempts 3 six upstreams were possible. A frozen owner that resumes had the same leave to hedge.

Change: the entry keeps the budget of a part over all its owners (attempt_budgets). An owner is given one attempt with the part and asks for each further one before it sends; what it was given is used up if its outcome is unknown, and given back if the part did not run. A call that has ended is granted nothing. Owners on the entry's own instance get all attempts at once.

--- a/packages/gooseberrymux/src/gooseberrymux/budgets.py
+++ b/packages/gooseberrymux/src/gooseberrymux/budgets.py
@@ -123,13 +123,17 @@
 
     def try_acquire_extra(self, now_ms: float) -> bool:
         """Records an extra send; returns False, without recording, if none is left."""
-        self._drop_before(now_ms - self._window_ms)
-        allowed = self._share * len(self._first_sends_ms) + self._slack
-        if len(self._extra_sends_ms) + 1 > allowed:
+        if not self.has_extra(now_ms):
             return False
         self._extra_sends_ms.append(now_ms)
         return True
 
+    def has_extra(self, now_ms: float) -> bool:
+        """Returns whether an extra send is left."""
+        self._drop_before(now_ms - self._window_ms)
+        allowed = self._share * len(self._first_sends_ms) + self._slack
+        return len(self._extra_sends_ms) + 1 <= allowed
+
     def _drop_before(self, before_ms: float) -> None:
         for times in (self._first_sends_ms, self._extra_sends_ms):
             while times and times[0] < before_ms:
--- a/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
@@ -25,7 +25,8 @@
         services: Services that each get the request.
         rank: Rank of the request.
         repeatable: Whether the request may run more than once.
-        attempts: Upstreams of one service on which the request may still run.
+        attempts: Upstreams of one service on which the owner may run the request.
+        attempts_on_request: Further ones for which it may ask by `AttemptRequest`.
         dispatched_before: Whether an earlier owner may have sent the request to an
             upstream.
         remaining_ms: Milliseconds left until the request's deadline.
@@ -46,6 +47,7 @@
     rank: Rank
     repeatable: bool
     attempts: int
+    attempts_on_request: int = 0
     dispatched_before: bool = False
     remaining_ms: float
     target_ms: float
@@ -70,6 +72,34 @@
     services: list[str]
 
 
+@_message
+class AttemptRequest:
+    """The owner asks to send a part to one more upstream.
+
+    Attributes:
+        call: Id of the call.
+        service: Name of the service.
+    """
+
+    call: str
+    service: str
+
+
+@_message
+class AttemptGranted:
+    """The entry allows the owner to send a part to one more upstream.
+
+    A part whose call has ended is granted none; a cancel is then on its way.
+
+    Attributes:
+        call: Id of the call.
+        service: Name of the service.
+    """
+
+    call: str
+    service: str
+
+
 @_message
 class PartReplied:
     """An upstream of the service replied.
@@ -169,4 +199,10 @@
 PartOutcome = PartReplied | PartNotRun | PartUnknown | PartsMerged
 
 PART_OUTCOME_TYPES = (PartReplied, PartNotRun, PartUnknown, PartsMerged)
-FORWARD_TYPES = (ForwardCall, CancelForward, *PART_OUTCOME_TYPES)
+FORWARD_TYPES = (
+    ForwardCall,
+    CancelForward,
+    AttemptRequest,
+    AttemptGranted,
+    *PART_OUTCOME_TYPES,
+)
--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from gooseberrymux import journal
+from gooseberrymux.attempt_budgets import AttemptBudget
 from gooseberrymux.calls import REASON_PEER_LOST, Inbox
 from gooseberrymux.fanout import (
     Complete,
@@ -37,9 +38,6 @@
 ANSWER_TRANSIT_MS = 2.0
 # Shortest time to merge and write an answer and for it to reach the caller.
 MIN_ANSWER_MS = 3.0
-# Dispatches of one part, including the first: if an owner can't be reached, the part is
-# dispatched to the next one.
-MAX_DISPATCHES = 4
 # The owner was lost or is stopping; another owner may run the part.
 OWNER_GONE_REASONS = frozenset({REASON_PEER_LOST, REASON_LEAVING})
 REASON_NO_REPLY = "deadline"
@@ -158,8 +156,8 @@
                 return self._run_fanout(request, target, inbox)
 
     def _run_single(self, request: RoutedRequest, name: str, inbox: Inbox) -> Result:
-        budget = DispatchBudget(request=request, limit=request.route.attempts)
-        call_ids = self._send(request, [name], budget, inbox)
+        budget = AttemptBudget(limit=request.route.attempts)
+        call_ids = self._send(request, {name: budget}, inbox)
         stops = False
         while True:
             for event in inbox.dequeue_all(
@@ -182,7 +180,7 @@
                         )
                         return Forwarded(reply=reply)
                     case _ if self._acquire_dispatch(request, event, budget):
-                        call_ids = self._send(request, [name], budget, inbox)
+                        call_ids = self._send(request, {name: budget}, inbox)
                     case _:
                         return self._refuse_single(request, event)
             if stops:
@@ -214,10 +212,10 @@
             latency_target_ms=request.route.latency_target_ms,
         )
         budgets = {
-            name: DispatchBudget(request=request, limit=request.route.attempts)
+            name: AttemptBudget(limit=request.route.attempts)
             for name in target.services
         }
-        call_ids = self._send(request, list(target.services), None, inbox)
+        call_ids = self._send(request, budgets, inbox)
         try:
             while True:
                 match fanout.evaluate(self._kernel.clock.now_ms()):
@@ -243,28 +241,28 @@
                                 names_to_resend.append(name)
                 for name in names_to_resend:
                     fanout.reopen(name)
-                    call_ids += self._send(request, [name], budgets[name], inbox)
+                    call_ids += self._send(request, {name: budgets[name]}, inbox)
         finally:
             self._parts.cancel(call_ids)
 
     def _send(
         self,
         request: RoutedRequest,
-        services: list[str],
-        budget: "DispatchBudget | None",
+        budgets: dict[str, AttemptBudget],
         inbox: Inbox,
     ) -> list[str]:
+        """Sends a request to the owners of the services that `budgets` names."""
         now_ms = self._kernel.clock.now_ms()
         route, http = request.route, request.http
         template = ForwardCall(
             id="",
             request_id=request.request_id,
             route=route.name,
-            services=services,
+            services=list(budgets),
             rank=route.rank,
             repeatable=route.repeatable,
-            attempts=budget.attempts_left if budget else route.attempts,
-            dispatched_before=budget.may_have_run if budget else False,
+            attempts=route.attempts,
+            dispatched_before=any(budget.may_have_run for budget in budgets.values()),
             remaining_ms=request.deadline_ms - now_ms,
             target_ms=request.target_at_ms - now_ms,
             method=http.method,
@@ -273,19 +271,21 @@
             body=http.body,
             top=get_record_limit(route),
         )
-        return self._parts.send(template, inbox)
+        return self._parts.send(template, inbox, budgets)
 
     def _acquire_dispatch(
-        self, request: RoutedRequest, event: PartOutcome, budget: "DispatchBudget"
+        self, request: RoutedRequest, event: PartOutcome, budget: AttemptBudget
     ) -> bool:
         """Reserves a dispatch of a failed part to another owner, if one is allowed."""
         if self._kernel.clock.now_ms() >= request.deadline_ms - self._answer_margin_ms:
             return False
         match event:
             case PartNotRun(reason=reason) if reason in OWNER_GONE_REASONS:
-                return budget.acquire(may_have_run=False)
+                return budget.acquire_dispatch(may_have_run=False)
             case PartUnknown(reason=reason) if reason in OWNER_GONE_REASONS:
-                return request.route.repeatable and budget.acquire(may_have_run=True)
+                return request.route.repeatable and budget.acquire_dispatch(
+                    may_have_run=True
+                )
             case _:
                 return False
 
@@ -401,33 +401,3 @@
             return top
         case _:
             return 0
-
-
-class DispatchBudget:
-    """How often a part may still be dispatched to another owner.
-
-    Attributes:
-        attempts_left: Upstreams on which the part may still run.
-        may_have_run: Whether an earlier dispatch may have reached an upstream.
-    """
-
-    __slots__ = ("attempts_left", "may_have_run", "_dispatches")
-
-    def __init__(self, *, request: RoutedRequest, limit: int):
-        self.attempts_left = limit
-        self.may_have_run = False
-        self._dispatches = 1
-
-    def acquire(self, *, may_have_run: bool) -> bool:
-        """Counts another dispatch; returns False if none is allowed.
-
-        Args:
-            may_have_run: Whether the last dispatch may have reached an upstream.
-        """
-        if self._dispatches >= MAX_DISPATCHES:
-            return False
-        if may_have_run:
-            self.attempts_left -= 1
-            self.may_have_run = True
-        self._dispatches += 1
-        return self.attempts_left > 0
--- a/packages/gooseberrymux/src/gooseberrymux/parts.py
+++ b/packages/gooseberrymux/src/gooseberrymux/parts.py
@@ -7,11 +7,12 @@
 import dataclasses
 import itertools
 import threading
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from result import Err, Ok
 
 from gooseberrymux import metrics
+from gooseberrymux.attempt_budgets import AttemptBudget
 from gooseberrymux.calls import (
     REASON_PEER_LOST,
     DirectDispatch,
@@ -21,6 +22,8 @@
 )
 from gooseberrymux.forward_messages import (
     PART_OUTCOME_TYPES,
+    AttemptGranted,
+    AttemptRequest,
     CancelForward,
     ForwardCall,
     PartNotRun,
@@ -44,18 +47,26 @@
         incarnation: Incarnation of the owner that the message was sent to; 0 if the
             owner had not been heard from, or is this instance.
         inbox: Receives the outcomes.
+        budgets: Attempts of each service's part.
         pending: Services without an outcome.
     """
 
-    __slots__ = ("message", "owner", "incarnation", "inbox", "pending")
+    __slots__ = ("message", "owner", "incarnation", "inbox", "budgets", "pending")
 
     def __init__(
-        self, *, message: ForwardCall, owner: str, incarnation: int, inbox: Inbox
+        self,
+        *,
+        message: ForwardCall,
+        owner: str,
+        incarnation: int,
+        inbox: Inbox,
+        budgets: Mapping[str, AttemptBudget],
     ):
         self.message = message
         self.owner = owner
         self.incarnation = incarnation
         self.inbox = inbox
+        self.budgets = budgets
         self.pending = set(message.services)
 
 
@@ -88,6 +99,7 @@
         self._counter = itertools.count(1)
         for outcome_type in PART_OUTCOME_TYPES:
             self._peers.register(outcome_type, self._accept)
+        self._peers.register(AttemptRequest, self._handle_attempt_request)
         kernel.subscribe(PeerLost, self._handle_peer_lost)
         kernel.subscribe(MessagesNotSent, self._handle_not_sent)
 
@@ -104,12 +116,19 @@
         """Returns the number of messages that still wait for outcomes."""
         return {"in_flight": len(self._calls)}
 
-    def send(self, template: ForwardCall, inbox: Inbox) -> list[str]:
+    def send(
+        self,
+        template: ForwardCall,
+        inbox: Inbox,
+        budgets: Mapping[str, AttemptBudget],
+    ) -> list[str]:
         """Sends a request to the owners of its services, one message for each owner.
 
         Args:
-            template: The request with all its services; its id is replaced.
+            template: The request with all its services; its id and its attempts are
+                replaced.
             inbox: Receives the outcomes; one may cover several services.
+            budgets: Attempts of each service's part, with at least one left.
 
         Returns:
             The ids of the messages, for `cancel`.
@@ -122,7 +141,13 @@
         # own parts.
         owners = sorted(by_owner, key=lambda owner: owner == own_name)
         return [
-            self._send_to(owner, by_owner[owner], template, inbox) for owner in owners
+            self._send_to(
+                owner,
+                dataclasses.replace(template, services=by_owner[owner]),
+                inbox,
+                {name: budgets[name] for name in by_owner[owner]},
+            )
+            for owner in owners
         ]
 
     def cancel(self, ids: Iterable[str]) -> None:
@@ -140,13 +165,23 @@
                 self._peers.send(call.owner, message)
 
     def _send_to(
-        self, owner: str, services: list[str], template: ForwardCall, inbox: Inbox
+        self,
+        owner: str,
+        template: ForwardCall,
+        inbox: Inbox,
+        budgets: Mapping[str, AttemptBudget],
     ) -> str:
         identity = self._peers.identity
+        limit = min(budget.attempts_left for budget in budgets.values())
+        # This instance's own attempts end with the request, so it needs not ask.
+        attempts = limit if owner == identity.name else 1
+        for budget in budgets.values():
+            budget.give(attempts)
         message = dataclasses.replace(
             template,
             id=f"{identity.name}-{identity.incarnation:x}-{next(self._counter)}",
-            services=services,
+            attempts=attempts,
+            attempts_on_request=limit - attempts,
             sent_ms=self._kernel.clock.boot_ms(),
         )
         call = PartsCall(
@@ -154,6 +189,7 @@
             owner=owner,
             incarnation=self._get_incarnation(owner),
             inbox=inbox,
+            budgets=budgets,
         )
         with self._lock:
             self._calls[message.id] = call
@@ -193,6 +229,25 @@
                 return
         metrics.dropped_total.inc({"reason": "late_or_foreign_outcome"})
 
+    def _handle_attempt_request(
+        self, sender: InstanceIdentity, message: object
+    ) -> None:
+        assert isinstance(message, AttemptRequest)
+        service_name = message.service
+        with self._lock:
+            call = self._calls.get(message.call)
+            is_granted = (
+                call is not None
+                and is_from_owner(call, sender)
+                and service_name in call.pending
+                and call.budgets[service_name].give()
+            )
+        if is_granted:
+            granted = AttemptGranted(call=message.call, service=service_name)
+            self._peers.send(sender.name, granted)
+        else:
+            metrics.dropped_total.inc({"reason": "late_or_foreign_attempt_request"})
+
     def find_owner(self, service_name: str) -> str:
         """Returns the name of the instance that a service's requests are sent to."""
         match self._dispatch_mode:
--- a/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable
 
 from gooseberrymux.connections import Connection, Exchange
-from gooseberrymux.forward_messages import ForwardCall, PartOutcome, PartReplied
+from gooseberrymux.forward_messages import (
+    AttemptRequest,
+    ForwardCall,
+    PartOutcome,
+    PartReplied,
+)
 from gooseberrymux.replicas import LatencyEstimate, Replica
 
 REASON_NO_REPLICA = "no_replica"
@@ -16,6 +21,7 @@
 ANSWER_RESERVE_MS = 10.0
 
 OutcomeCallback = Callable[[PartOutcome], None]
+AttemptCallback = Callable[[AttemptRequest], None]
 
 
 class PendingRequest:
@@ -27,6 +33,7 @@
     Attributes:
         call: The message that asks for the request.
         on_outcome: Called once with the outcome; must not block.
+        request_attempt: Asks the entry for an attempt; must not block.
         requester: Instance that may cancel the request; empty for this instance.
         arrived_ms: When the request arrived.
         deadline_ms: When an outcome would no longer reach the caller in time.
@@ -35,6 +42,10 @@
         active_exchanges: Exchanges with upstreams that have not ended.
         tried_upstreams: Names of the upstreams tried in this retry round.
         attempts_left: On how many more upstreams the request may run.
+        attempts_on_request: On how many further ones it may run if the entry allows it.
+        is_attempt_requested: Whether the entry was asked for an attempt and has not
+            answered.
+        awaits_retry: Whether the request is sent again once the entry has answered.
         send_count: Number of exchanges started so far.
         first_send_ms: When the first exchange started.
         retry_rounds: How often all upstreams became eligible again.
@@ -47,6 +58,7 @@
     __slots__ = (
         "call",
         "on_outcome",
+        "request_attempt",
         "requester",
         "arrived_ms",
         "deadline_ms",
@@ -55,6 +67,9 @@
         "active_exchanges",
         "tried_upstreams",
         "attempts_left",
+        "attempts_on_request",
+        "is_attempt_requested",
+        "awaits_retry",
         "send_count",
         "first_send_ms",
         "retry_rounds",
@@ -69,6 +84,7 @@
         *,
         call: ForwardCall,
         on_outcome: OutcomeCallback,
+        request_attempt: AttemptCallback,
         requester: str,
         now_ms: float,
         head: bytes,
@@ -76,6 +92,7 @@
     ):
         self.call = call
         self.on_outcome = on_outcome
+        self.request_attempt = request_attempt
         self.requester = requester
         self.arrived_ms = now_ms
         self.deadline_ms = now_ms + call.remaining_ms - DEADLINE_MARGIN_MS
@@ -84,6 +101,9 @@
         self.active_exchanges: list[PoolExchange] = []
         self.tried_upstreams: set[str] = set()
         self.attempts_left = call.attempts
+        self.attempts_on_request = call.attempts_on_request
+        self.is_attempt_requested = False
+        self.awaits_retry = False
         self.send_count = 0
         self.first_send_ms: float | None = None
         self.retry_rounds = 0
@@ -92,6 +112,17 @@
         self.last_failure = REASON_NO_REPLICA
         self.error_reply: PartReplied | None = None
 
+    @property
+    def may_run_again(self) -> bool:
+        """Whether an attempt is left, or will be once the entry allows it."""
+        return self.attempts_left + self.attempts_on_request > 0
+
+    def add_attempt(self) -> None:
+        """Adds the attempt that the entry was asked for."""
+        self.is_attempt_requested = False
+        self.attempts_on_request -= 1
+        self.attempts_left += 1
+
     def can_be_on_time(self, now_ms: float) -> bool:
         """Returns whether an exchange that starts now can meet the latency target."""
         target_at_ms = self.arrived_ms + self.call.target_ms - ANSWER_RESERVE_MS
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -16,6 +16,7 @@
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.forward_exchange import Declined, NotSent, Replied
 from gooseberrymux.forward_messages import (
+    AttemptRequest,
     PartNotRun,
     PartOutcome,
     PartReplied,
@@ -25,6 +26,7 @@
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.pending_requests import (
     REASON_NO_REPLICA,
+    AttemptCallback,
     OutcomeCallback,
     PendingRequest,
     PoolExchange,
@@ -90,7 +92,7 @@
 class Pool:
     """The queue, the upstreams and the extra sends of one service.
 
-    Thread-safe. Outcomes are delivered after the lock is released.
+    Thread-safe. Outcomes and other messages are delivered after the lock is released.
     """
 
     __slots__ = (
@@ -136,7 +138,9 @@
             window_ms=forwarding.extra_window_s * MS_PER_S,
         )
         self._requests: dict[tuple[str, str], PendingRequest] = {}
-        self._outbox: list[tuple[OutcomeCallback, PartOutcome]] = []
+        self._outbox: list[
+            tuple[OutcomeCallback, PartOutcome] | tuple[AttemptCallback, AttemptRequest]
+        ] = []
 
     @property
     def pending(self) -> int:
@@ -200,6 +204,21 @@
                 self._close_request(request)
                 self._queue.remove(lambda queued: queued is request)
 
+    def add_attempt(self, call_id: str, *, requester: str) -> None:
+        """Sends a request to another upstream, as the entry now allows."""
+        with self._lock:
+            request = self._requests.get((requester, call_id))
+            if request is not None and request.is_attempt_requested:
+                now_ms = self._clock.now_ms()
+                request.add_attempt()
+                if request.awaits_retry:
+                    request.awaits_retry = False
+                    self._schedule_retry(request, now_ms, counts_as_extra=True)
+                    self._dispatch(now_ms)
+                else:
+                    self._try_hedge(request, now_ms)
+        self._deliver_outcomes()
+
     def reject_forwarded(self) -> None:
         """Fails the queued requests of other instances as not run at a planned stop."""
         with self._lock:
@@ -217,8 +236,8 @@
             return
         with self._lock:
             outbox, self._outbox = self._outbox, []
-        for on_outcome, outcome in outbox:
-            on_outcome(outcome)
+        for deliver, message in outbox:
+            deliver(message)
 
     def _try_enqueue(self, request: PendingRequest, now_ms: float) -> str | None:
         """Queues a request; returns the reason code of a refusal, or None if queued."""
@@ -338,7 +357,7 @@
         connection.start_exchange(exchange)
         if cause != CAUSE_FIRST:
             self._record_extra_send(exchange)
-        if request.call.repeatable and request.attempts_left > 0:
+        if request.call.repeatable and request.may_run_again:
             delay_ms = (
                 latency.median_ms
                 if probing
@@ -376,26 +395,40 @@
 
     def _hedge(self, request: PendingRequest) -> None:
         with self._lock:
-            now_ms = self._clock.now_ms()
-            if (
-                request.settled
-                or len(request.active_exchanges) != 1
-                or request.attempts_left < 1
-                or now_ms + request.latency.median_ms > request.deadline_ms
-            ):
-                return
-            replica = self._replicas.choose(
-                tried=request.tried_upstreams, may_probe=False, now_ms=now_ms
-            )
-            if replica is None:
-                if now_ms + HEDGE_RECHECK_MS < request.deadline_ms:
-                    self._dependencies.timers.call_at(
-                        now_ms + HEDGE_RECHECK_MS, lambda: self._hedge(request)
-                    )
-            elif self._budget.try_acquire_extra(now_ms):
-                self._send(request, replica, CAUSE_HEDGE, now_ms)
-            else:
-                metrics.sends_total.increment(CAUSE_HEDGE, REASON_BUDGET)
+            self._try_hedge(request, self._clock.now_ms())
+        self._deliver_outcomes()
+
+    def _try_hedge(self, request: PendingRequest, now_ms: float) -> None:
+        if (
+            request.settled
+            or len(request.active_exchanges) != 1
+            or not request.may_run_again
+            or now_ms + request.latency.median_ms > request.deadline_ms
+        ):
+            return
+        replica = self._replicas.choose(
+            tried=request.tried_upstreams, may_probe=False, now_ms=now_ms
+        )
+        if replica is None:
+            if now_ms + HEDGE_RECHECK_MS < request.deadline_ms:
+                self._dependencies.timers.call_at(
+                    now_ms + HEDGE_RECHECK_MS, lambda: self._hedge(request)
+                )
+        elif not self._budget.has_extra(now_ms):
+            metrics.sends_total.increment(CAUSE_HEDGE, REASON_BUDGET)
+        elif request.attempts_left < 1:
+            self._request_attempt(request)
+        else:
+            self._budget.try_acquire_extra(now_ms)
+            self._send(request, replica, CAUSE_HEDGE, now_ms)
+
+    def _request_attempt(self, request: PendingRequest) -> None:
+        """Asks the entry for another attempt, unless it has been asked already."""
+        if request.is_attempt_requested:
+            return
+        request.is_attempt_requested = True
+        message = AttemptRequest(call=request.call.id, service=self.service)
+        self._outbox.append((request.request_attempt, message))
 
     def _remove_idle(self, replica: Replica, connection: Connection) -> bool:
         with self._lock:
@@ -482,8 +515,11 @@
             return
         if request.may_have_run and not request.call.repeatable:
             self._fail_request(request, request.last_failure)
-        elif request.attempts_left < 1:
+        elif not request.may_run_again:
             self._fail_request(request, request.last_failure)
+        elif request.attempts_left < 1:
+            request.awaits_retry = True
+            self._request_attempt(request)
         elif counts_as_extra and not self._budget.try_acquire_extra(now_ms):
             self._fail_request(request, REASON_BUDGET)
         elif self._replicas.list_usable(now_ms, request.tried_upstreams):
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -7,6 +7,8 @@
 from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
 from gooseberrymux.forward_exchange import encode_head
 from gooseberrymux.forward_messages import (
+    AttemptGranted,
+    AttemptRequest,
     CancelForward,
     ForwardCall,
     PartNotRun,
@@ -17,7 +19,11 @@
 from gooseberrymux.merging import Collector
 from gooseberrymux.message_ages import MessageAges
 from gooseberrymux.peers import Peers
-from gooseberrymux.pending_requests import OutcomeCallback, PendingRequest
+from gooseberrymux.pending_requests import (
+    AttemptCallback,
+    OutcomeCallback,
+    PendingRequest,
+)
 from gooseberrymux.pool import REASON_LEAVING, Pool, PoolDependencies
 from gooseberrymux.records import InstanceIdentity, UpstreamRecord
 from gooseberrymux.route_latencies import RouteLatencies
@@ -68,6 +74,7 @@
         self._leaving = False
         self._peers.register(ForwardCall, self._handle_call)
         self._peers.register(CancelForward, self._handle_cancel)
+        self._peers.register(AttemptGranted, self._handle_attempt)
         kernel.subscribe(LeaveStarted, self._handle_leave)
 
     def start(self) -> None:
@@ -90,7 +97,12 @@
         return {name: pool.describe() for name, pool in list(self._pools.items())}
 
     def submit(
-        self, call: ForwardCall, on_outcome: OutcomeCallback, *, requester: str = ""
+        self,
+        call: ForwardCall,
+        on_outcome: OutcomeCallback,
+        *,
+        requester: str = "",
+        request_attempt: AttemptCallback = lambda message: None,
     ) -> None:
         """Submits a request to the pool of each of its services.
 
@@ -99,6 +111,8 @@
             on_outcome: Called from any thread with the outcome of each service, or with
                 the merged parts if the call asks for a merge; must not block.
             requester: Instance that may cancel the request; empty for this instance.
+            request_attempt: Called from any thread to ask the requester for an attempt
+                beyond `call.attempts`; must not block.
         """
         if self._leaving and requester:
             for name in call.services:
@@ -116,6 +130,7 @@
             PendingRequest(
                 call=call,
                 on_outcome=on_outcome,
+                request_attempt=request_attempt,
                 requester=requester,
                 now_ms=now_ms,
                 head=head,
@@ -199,8 +214,14 @@
             if self._kernel.is_draining:
                 self._kernel.wake()
 
+        def request_attempt(message: AttemptRequest) -> None:
+            self._peers.send(sender.name, message)
+
         self.submit(
-            self._subtract_delay(message, sender), send_outcome, requester=sender.name
+            self._subtract_delay(message, sender),
+            send_outcome,
+            requester=sender.name,
+            request_attempt=request_attempt,
         )
 
     def _subtract_delay(
@@ -231,6 +252,12 @@
         assert isinstance(message, CancelForward)
         self.cancel(message, requester=sender.name)
 
+    def _handle_attempt(self, sender: InstanceIdentity, message: object) -> None:
+        assert isinstance(message, AttemptGranted)
+        pool = self._pools.get(message.service)
+        if pool is not None:
+            pool.add_attempt(message.call, requester=sender.name)
+
 
 def refuse_leaving(call: ForwardCall, service_name: str, own_name: str) -> PartNotRun:
     """Returns the refusal of a call that arrives during a planned stop."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,6 +8,8 @@
 
 from gooseberrymux.clock import Clock
 from gooseberrymux.forward_messages import (
+    AttemptGranted,
+    AttemptRequest,
     CancelForward,
     ForwardCall,
     PartReplied,
@@ -340,6 +342,10 @@
         event = PeerLost(instance="other", incarnation=incarnation, reason="test")
         self.env.kernel.publish(event)
 
+    def request_attempt(self, call, incarnation=3, sender="other"):
+        message = AttemptRequest(call=call.id, service="s")
+        self.peers.receive(sender, incarnation, message)
+
     def reply(self, call, incarnation=3, sender="other"):
         outcome = PartReplied(
             call=call.id,
@@ -374,6 +380,67 @@
     assert caller.read()[2] == b"from afar"
 
 
+@pytest.mark.parametrize("attempts", [1, 2, 3])
+def test_lost_owners_together_get_no_more_attempts_than_the_route_allows(
+    owner, attempts
+):
+    """Guards against a request that runs on more upstreams than its route allows.
+
+    A killed owner may have used every attempt that it was given.
+    """
+    caller = owner.send_request(attempts=attempts)
+    for number in range(attempts):
+        wait_until(
+            lambda sent=number: len(owner.list_sent()) > sent, message="not dispatched"
+        )
+        owner.publish_loss()
+    assert caller.read()[0] == 502
+    calls = owner.list_sent()
+    assert sum(call.attempts for call in calls) == attempts
+    assert [call.attempts_on_request for call in calls] == list(
+        reversed(range(attempts))
+    )
+
+
+def test_an_attempt_that_a_lost_owner_has_asked_for_counts_as_used(owner):
+    caller = owner.send_request(attempts=2)
+    (call,) = owner.list_sent()
+    owner.request_attempt(call)
+    (granted,) = owner.list_sent(AttemptGranted)
+    assert (granted.call, granted.service) == (call.id, "s")
+    owner.publish_loss()
+    assert caller.read()[0] == 502
+    assert len(owner.list_sent()) == 1
+
+
+def test_an_owner_gets_no_attempt_beyond_the_route_or_after_the_end_of_its_call(owner):
+    # Guards against a frozen owner that sends a request again when it resumes.
+    caller = owner.send_request(attempts=2)
+    (first,) = owner.list_sent()
+    owner.publish_loss()
+    wait_until(lambda: len(owner.list_sent()) == 2, message="not sent again")
+    second = owner.list_sent()[1]
+    for call in (first, second):
+        owner.request_attempt(call)
+    owner.request_attempt(second, incarnation=2)
+    owner.request_attempt(second, sender="foreign")
+    owner.reply(second)
+    assert caller.read()[0] == 200
+    owner.request_attempt(second)
+    assert owner.list_sent(AttemptGranted) == []
+
+
+def test_what_was_never_sent_keeps_its_attempts(owner):
+    caller = owner.send_request(attempts=2)
+    event = MessagesNotSent(instance="other", messages=owner.list_sent())
+    owner.env.kernel.publish(event)
+    wait_until(lambda: len(owner.list_sent()) == 2, message="not sent again")
+    second = owner.list_sent()[1]
+    assert (second.attempts, second.attempts_on_request) == (1, 1)
+    owner.reply(second)
+    assert caller.read()[0] == 200
+
+
 def test_a_lost_owner_leaves_an_order_unknown(owner):
     # Guards against running an order twice.
     caller = owner.send_request(repeatable=False)
