Answer 502 once an earlier owner may have run the request

A caller could get 503, the promise that nothing has run, for a repeatable request to a single service: its first owner was lost with the request, and the next one was never reached, so the last outcome was "not run".

Cause: the refusal went by the last outcome alone. Fan-outs keep what any outcome said.

Change: the run state of a refusal also follows from the earlier dispatches.

Measured: the new test failed before for a single service (503), held for a fan-out, and passes with the change.

--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -182,7 +182,7 @@
                     case _ if self._acquire_dispatch(request, event, budget):
                         call_ids = self._send(request, {name: budget}, inbox)
                     case _:
-                        return self._refuse_single(request, event)
+                        return self._refuse_single(request, event, budget)
             if stops:
                 self._parts.cancel(call_ids)
                 return self._refuse_stopping(request, name)
@@ -321,9 +321,11 @@
             service=name,
         )
 
-    def _refuse_single(self, request: RoutedRequest, outcome: PartOutcome) -> Refused:
+    def _refuse_single(
+        self, request: RoutedRequest, outcome: PartOutcome, budget: AttemptBudget
+    ) -> Refused:
         match outcome:
-            case PartNotRun(retry_after_ms=retry_after_ms):
+            case PartNotRun(retry_after_ms=retry_after_ms) if not budget.may_have_run:
                 run_state = RunState.NOT_RUN
             case _:
                 run_state, retry_after_ms = RunState.UNKNOWN, 0.0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gooseberrymux.attempt_budgets import MAX_DISPATCHES
 from gooseberrymux.clock import Clock
 from gooseberrymux.forward_messages import (
     AttemptGranted,
@@ -441,6 +442,25 @@
     assert caller.read()[0] == 200
 
 
+@pytest.mark.parametrize("target", [{"service": "s"}, {**FANOUT, "services": ["s"]}])
+def test_a_request_that_a_lost_owner_may_have_run_is_not_answered_as_not_run(
+    owner, target
+):
+    """Guards against a false promise to a caller that nothing has run.
+
+    The first owner is lost after it got the request, the second is never reached.
+    """
+    caller = owner.send_request(attempts=2, target=target)
+    owner.publish_loss()
+    for number in range(1, MAX_DISPATCHES):
+        wait_until(
+            lambda sent=number: len(owner.list_sent()) > sent, message="not sent again"
+        )
+        event = MessagesNotSent(instance="other", messages=owner.list_sent()[-1:])
+        owner.env.kernel.publish(event)
+    assert caller.read()[0] == 502
+
+
 def test_a_lost_owner_leaves_an_order_unknown(owner):
     # Guards against running an order twice.
     caller = owner.send_request(repeatable=False)
