Limit what the unfinished replies of all upstreams hold together

Report of another operator: a faulty upstream sent bytes without end until the caller closed, and the process that had called it ran out of memory. It could happen here.

Cause: no limit held for the sum. Besides, a parser and the library's parser refer to each other, so the pieces of a reply stayed in memory until the garbage collector ran.

Change: the service reply_memory counts what unfinished replies hold beyond 64 KiB each, for both protocols; a reply for which none is left is broken off (reply_memory_full). Setting instance.reply_memory_bytes, 32 MiB by default. A parser is closed after its reply, which frees it at once.

Usual replies are read while the memory is used up.

--- a/packages/gooseberrymux/src/gooseberrymux/canceller.py
+++ b/packages/gooseberrymux/src/gooseberrymux/canceller.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from gooseberrymux import journal
-from gooseberrymux.exchange import SubrequestConnection
+from gooseberrymux.exchange import create_subrequest_connection
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
 
@@ -73,8 +73,8 @@
             self._condition.notify_all()
 
     def _serve(self) -> None:
-        connection = SubrequestConnection(
-            record=self._get_record(), clock=self._kernel.clock
+        connection = create_subrequest_connection(
+            record=self._get_record(), kernel=self._kernel
         )
         while (subrequest_id := self._dequeue()) is not None:
             if not connection.cancel(subrequest_id):
--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -35,6 +35,7 @@
 from gooseberrymux.forward_messages import ForwardCall
 from gooseberrymux.http_types import find_header
 from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.reply_parser import ParsedReply, ReplyError, ReplyParser
 from gooseberrymux.settings import HeaderNames
 
@@ -90,6 +91,7 @@
         record: The upstream.
         clock: Source of monotonic time.
         names: Configured names of the protocol's HTTP headers.
+        reply_memory: Limits what unfinished replies hold together.
         on_result: Called in the connection's thread with the result of each exchange.
         check_send: Called in the connection's thread before and after a new socket is
             opened for an exchange.
@@ -99,6 +101,7 @@
         "_record",
         "_clock",
         "_names",
+        "_reply_memory",
         "_on_result",
         "_check_send",
         "_condition",
@@ -118,12 +121,14 @@
         record: UpstreamRecord,
         clock: Clock,
         names: HeaderNames,
+        reply_memory: ReplyMemory,
         on_result: ResultHandler,
         check_send: SendCheck = lambda exchange: None,
     ):
         self._record = record
         self._clock = clock
         self._names = names
+        self._reply_memory = reply_memory
         self._on_result = on_result
         self._check_send = check_send
         self._condition = threading.Condition()
@@ -349,7 +354,7 @@
     def _receive_reply(
         self, sock: socket.socket, first: memoryview, exchange: Exchange
     ) -> tuple[Result, bool]:
-        parser = ReplyParser(method=exchange.call.method)
+        parser = ReplyParser(method=exchange.call.method, memory=self._reply_memory)
         try:
             reply = read_reply(sock, first, parser, self._buffer)
         except (OSError, ReplyError) as error:
@@ -361,6 +366,8 @@
             journal.record_fault(step="connections.read", peer=peer, error=error)
             metrics.faults_total.inc({"step": "connections.read"})
             return Broken(reason=REASON_INTERNAL), False
+        finally:
+            parser.close()
         if exchange.aborted or self._closed:
             # A reply that is delimited by the end of the connection looks complete
             # when this side closes the socket.
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -31,7 +31,7 @@
 RECENT_ORDER_ID_LIMIT = 65_536
 
 
-@service("dispatch", requires=("peers", "inventory", "departures"))
+@service("dispatch", requires=("peers", "inventory", "departures", "reply_memory"))
 class Dispatch:
     """Runs sub-requests for the upstreams that this instance owns."""
 
--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -14,6 +14,7 @@
 
 from gooseberrymux import metrics
 from gooseberrymux.clock import Clock
+from gooseberrymux.kernel import Kernel
 from gooseberrymux.messages import (
     Subrequest,
     SubrequestCompleted,
@@ -22,10 +23,13 @@
     SubrequestUnknown,
 )
 from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.reply_parser import (
     REPLY_LIMIT_BYTES,
     MalformedReplyError,
+    ParsedReply,
     ReplyError,
+    ReplyMemoryFullError,
     ReplyParser,
     TruncatedReplyError,
 )
@@ -37,6 +41,7 @@
 REASON_BROKEN = "connection_broken"
 REASON_TIMEOUT = "timeout"
 REASON_MALFORMED = "malformed_reply"
+REASON_MEMORY_FULL = "reply_memory_full"
 REASON_SHED = "shed"
 REASON_VERSION_GONE = "version_gone"
 REASON_WRONG_SHARD = "wrong_shard"
@@ -72,16 +77,20 @@
         "record",
         "signals",
         "_clock",
+        "_reply_memory",
         "_socket",
         "_host_header",
         "_bytes_written",
         "_last_used_ms",
     )
 
-    def __init__(self, *, record: UpstreamRecord, clock: Clock):
+    def __init__(
+        self, *, record: UpstreamRecord, clock: Clock, reply_memory: ReplyMemory
+    ):
         self.record = record
         self.signals: UpstreamSignals | None = None
         self._clock = clock
+        self._reply_memory = reply_memory
         self._socket: socket.socket | None = None
         self._host_header = f"Host: {record.host}:{record.port}\r\n"
         self._bytes_written = 0
@@ -200,9 +209,22 @@
             )
 
     def _read_response(self, deadline_ms: float) -> tuple[int, dict]:
+        parser = ReplyParser(method="POST", memory=self._reply_memory)
+        try:
+            reply = self._receive_reply(parser, deadline_ms)
+        finally:
+            parser.close()
+        if reply.closes_connection or parser.has_excess:
+            self.close()
+        self._last_used_ms = self._clock.now_ms()
+        self.signals = parse_signals(
+            dict(reversed(reply.headers)), status=reply.status, names=HEADER_NAMES
+        )
+        return reply.status, _decoder.decode(reply.body)
+
+    def _receive_reply(self, parser: ReplyParser, deadline_ms: float) -> ParsedReply:
         sock = self._socket
         assert sock is not None
-        parser = ReplyParser(method="POST")
         while parser.reply is None:
             # One deadline for all reads together: an upstream that sends a byte from
             # time to time must not block the thread for longer.
@@ -213,14 +235,7 @@
                 # be told from a complete one.
                 raise TruncatedReplyError("the connection ended within the reply")
             parser.feed(data)
-        reply = parser.reply
-        if reply.closes_connection or parser.has_excess:
-            self.close()
-        self._last_used_ms = self._clock.now_ms()
-        self.signals = parse_signals(
-            dict(reversed(reply.headers)), status=reply.status, names=HEADER_NAMES
-        )
-        return reply.status, _decoder.decode(reply.body)
+        return parser.reply
 
     def _create_outcome(
         self, subrequest: Subrequest, status: int, decoded: dict, elapsed_ms: float
@@ -277,6 +292,17 @@
         )
 
 
+def create_subrequest_connection(
+    *, record: UpstreamRecord, kernel: Kernel
+) -> SubrequestConnection:
+    """Returns a connection that uses the clock and the reply memory of an instance."""
+    return SubrequestConnection(
+        record=record,
+        clock=kernel.clock,
+        reply_memory=kernel.find("reply_memory", ReplyMemory),
+    )
+
+
 def set_timeout(sock: socket.socket, remaining_ms: float) -> None:
     """Sets the timeout of the next socket operation, in milliseconds.
 
@@ -293,6 +319,8 @@
     match error:
         case TimeoutError():
             return REASON_TIMEOUT
+        case ReplyMemoryFullError():
+            return REASON_MEMORY_FULL
         case MalformedReplyError():
             return REASON_MALFORMED
         case _:
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -35,6 +35,7 @@
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.replica_set import ReplicaSet
 from gooseberrymux.replicas import Replica
+from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.route_latencies import RouteLatencies
 from gooseberrymux.schedule import RANKS, RankQueue, create_scheduling_policy
 from gooseberrymux.timers import Timers
@@ -75,6 +76,7 @@
         inventory: Lists the upstreams.
         timers: Runs the hedges and retry rounds when they are due.
         latencies: Estimates the duration of exchanges for each route.
+        reply_memory: Limits what unfinished replies hold together.
         get_connection_limit: Returns how many connections each upstream of a service
             accepts; None if not limited.
         report_leaving: Called with an upstream whose reply says that it leaves, unless
@@ -85,6 +87,7 @@
     inventory: Inventory
     timers: Timers
     latencies: RouteLatencies
+    reply_memory: ReplyMemory
     get_connection_limit: Callable[[str], int | None]
     report_leaving: Callable[[UpstreamRecord], None]
 
@@ -121,6 +124,7 @@
             service=service,
             kernel=dependencies.kernel,
             inventory=dependencies.inventory,
+            reply_memory=dependencies.reply_memory,
             get_connection_limit=dependencies.get_connection_limit,
         )
         policy = create_scheduling_policy(settings)
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -26,6 +26,7 @@
 )
 from gooseberrymux.pool import REASON_LEAVING, Pool, PoolDependencies
 from gooseberrymux.records import InstanceIdentity, UpstreamRecord
+from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.route_latencies import RouteLatencies
 from gooseberrymux.routes import Routes
 from gooseberrymux.timers import Timers
@@ -37,7 +38,10 @@
 DELAY_IGNORED_MS = 2.0
 
 
-@service("pools", requires=("peers", "inventory", "departures", "routes", "timers"))
+@service(
+    "pools",
+    requires=("peers", "inventory", "departures", "routes", "timers", "reply_memory"),
+)
 class Pools:
     """The pools of this instance; each is created with its service's first request."""
 
@@ -64,6 +68,7 @@
             inventory=kernel.find("inventory", Inventory),
             timers=kernel.find("timers", Timers),
             latencies=RouteLatencies(),
+            reply_memory=kernel.find("reply_memory", ReplyMemory),
             get_connection_limit=self._get_connection_limit,
             report_leaving=self._report_leaving,
         )
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -7,6 +7,7 @@
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.replicas import REASON_UPSTREAM_LEAVING, SLOW_FACTOR, Replica
+from gooseberrymux.reply_memory import ReplyMemory
 
 UNLIMITED_CONNECTIONS = 1 << 16
 
@@ -21,6 +22,7 @@
         "_service",
         "_kernel",
         "_inventory",
+        "_reply_memory",
         "_get_connection_limit",
         "_records",
         "_replicas",
@@ -33,11 +35,13 @@
         service: str,
         kernel: Kernel,
         inventory: Inventory,
+        reply_memory: ReplyMemory,
         get_connection_limit: Callable[[str], int | None],
     ):
         self._service = service
         self._kernel = kernel
         self._inventory = inventory
+        self._reply_memory = reply_memory
         self._get_connection_limit = get_connection_limit
         self._records: tuple[UpstreamRecord, ...] = ()
         self._replicas: dict[str, Replica] = {}
@@ -224,6 +228,7 @@
             record=replica.record,
             clock=self._kernel.clock,
             names=self._kernel.settings.gateway.headers,
+            reply_memory=self._reply_memory,
             on_result=finish,
             check_send=lambda exchange: self._find_obstacle(replica),
         )
--- a/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
+++ b/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
@@ -10,8 +10,13 @@
 import httptools
 
 from gooseberrymux.http_types import Headers
+from gooseberrymux.reply_memory import ReplyMemory
 
 REPLY_LIMIT_BYTES = 4 * 1024 * 1024
+# What a reply holds without a reservation. Usual replies are smaller, so that a few
+# upstreams that use up the memory leave the replies of others alone.
+UNRESERVED_BYTES = 64 * 1024
+RESERVATION_STEP_BYTES = 256 * 1024
 # Limit of the status lines and headers of a reply and of its interim replies together.
 HEAD_LIMIT_BYTES = 32 * 1024
 HEADER_COUNT_LIMIT = 100
@@ -31,6 +36,10 @@
     """The bytes are not a valid reply, or exceed a limit."""
 
 
+class ReplyMemoryFullError(MalformedReplyError):
+    """The memory for unfinished replies is used up."""
+
+
 class TruncatedReplyError(ReplyError):
     """The connection ended before the reply was complete."""
 
@@ -57,6 +66,7 @@
 
     Args:
         method: Method of the request; a reply to HEAD has no body.
+        memory: Limits what all unfinished replies hold together.
 
     Attributes:
         reply: The reply once it is complete, else None.
@@ -76,11 +86,13 @@
         "_is_head_complete",
         "_is_delimited_by_end",
         "_problem",
+        "_memory",
+        "_reserved_bytes",
         "reply",
         "has_excess",
     )
 
-    def __init__(self, *, method: str):
+    def __init__(self, *, method: str, memory: ReplyMemory):
         self._parser = httptools.HttpResponseParser(self)
         self._method = method
         self._headers: list[tuple[str, str]] = []
@@ -93,6 +105,8 @@
         self._is_head_complete = False
         self._is_delimited_by_end = False
         self._problem = ""
+        self._memory = memory
+        self._reserved_bytes = 0
         self.reply: ParsedReply | None = None
         self.has_excess = False
 
@@ -101,6 +115,7 @@
 
         Raises:
             MalformedReplyError: The bytes are not a valid reply, or exceed a limit.
+            ReplyMemoryFullError: All unfinished replies together exceed a limit.
         """
         if self._is_head_complete:
             self._received_bytes += len(data)
@@ -114,6 +129,7 @@
             self.has_excess = True
         if self.reply is None:
             self._check_limits()
+            self._reserve_memory()
 
     def finish(self) -> None:
         """Ends the reply at the end of the connection.
@@ -127,6 +143,21 @@
             raise TruncatedReplyError("the connection ended within the reply")
         self._complete()
 
+    def close(self) -> None:
+        """Frees the memory of the reply's pieces; only `reply` may be used then."""
+        self._body.clear()
+        # The parser refers back to this object, so the garbage collector alone would
+        # free both, at a later time.
+        del self._parser
+        self._memory.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
+    def _reserve_memory(self) -> None:
+        while self._body_bytes > UNRESERVED_BYTES + self._reserved_bytes:
+            if not self._memory.try_reserve(RESERVATION_STEP_BYTES):
+                raise ReplyMemoryFullError("unfinished replies use up their memory")
+            self._reserved_bytes += RESERVATION_STEP_BYTES
+
     def _check_limits(self) -> None:
         if self._problem:
             raise MalformedReplyError(self._problem)
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -68,6 +68,7 @@
     administration: Address
     peers: Address
     advertised_peers: Address | None = None
+    reply_memory_bytes: Count = 33_554_432
 
     @property
     def advertised_address(self) -> Address:
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -11,7 +11,11 @@
 from gooseberrymux.canceller import Canceller
 from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
-from gooseberrymux.exchange import REASON_DEADLINE, SubrequestConnection
+from gooseberrymux.exchange import (
+    REASON_DEADLINE,
+    SubrequestConnection,
+    create_subrequest_connection,
+)
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.messages import (
     Subrequest,
@@ -290,7 +294,9 @@
         return max(1, min(self.record.slots, self.record.connections))
 
     def _run_worker(self, worker_index: int) -> None:
-        connection = SubrequestConnection(record=self.record, clock=self._kernel.clock)
+        connection = create_subrequest_connection(
+            record=self.record, kernel=self._kernel
+        )
         while (item := self._dequeue(worker_index)) is not None:
             if connection.record is not self.record:
                 connection = update_connection(connection, self.record, self._kernel)
@@ -459,7 +465,7 @@
         connection.record = record
         return connection
     connection.close()
-    return SubrequestConnection(record=record, clock=kernel.clock)
+    return create_subrequest_connection(record=record, kernel=kernel)
 
 
 def create_not_run(
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -21,6 +21,7 @@
     Rank,
     Traffic,
 )
+from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.settings import merge_mappings, parse_settings
 
 SETTINGS = {
@@ -43,6 +44,11 @@
     )
 
 
+def create_reply_memory(limit_bytes=64 * 1024 * 1024):
+    settings = create_settings(instance={"reply_memory_bytes": limit_bytes})
+    return ReplyMemory(kernel=Kernel(settings=settings, clock=Clock()))
+
+
 class SteppingClock(Clock):
     """Clock of a single-threaded test: a wait advances to the next scheduled event."""
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -19,7 +19,7 @@
 from gooseberrymux.forward_messages import ForwardCall
 from gooseberrymux.records import Rank
 from gooseberrymux.settings import HeaderNames
-from harness import wait_until
+from harness import create_reply_memory, wait_until
 from http_scripted import PROOF, HttpUpstream
 
 CLOCK = Clock()
@@ -46,12 +46,13 @@
 class ConnectionDriver:
     """Runs a connection in a thread and collects the results of its exchanges."""
 
-    def __init__(self, record, check_send=lambda exchange: None):
+    def __init__(self, record, check_send=lambda exchange: None, reply_memory=None):
         self.results = queue.Queue()
         self.connection = Connection(
             record=record,
             clock=CLOCK,
             names=NAMES,
+            reply_memory=reply_memory or create_reply_memory(),
             on_result=lambda connection, exchange, result: self.results.put(result),
             check_send=check_send,
         )
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -16,9 +16,11 @@
     SubrequestUnknown,
 )
 from gooseberrymux.records import Rank, UpstreamRecord
+from harness import create_reply_memory
 from scripted import ScriptedUpstream
 
 CLOCK = Clock()
+MEMORY = create_reply_memory()
 QUERY = Subrequest(
     id="s-1",
     request_id="q-1",
@@ -33,7 +35,7 @@
 
 def run_subrequest(upstream, subrequest=QUERY, connection=None, budget_ms=2000.0):
     connection = connection or SubrequestConnection(
-        record=upstream.describe("u"), clock=CLOCK
+        record=upstream.describe("u"), clock=CLOCK, reply_memory=MEMORY
     )
     return connection.run(subrequest, CLOCK.now_ms() + budget_ms)
 
@@ -162,7 +164,7 @@
     )
     body = {"filler": "x" * 30_000_000}
     order = dataclasses.replace(ORDER, body=body)
-    outcome = SubrequestConnection(record=record, clock=CLOCK).run(
+    outcome = SubrequestConnection(record=record, clock=CLOCK, reply_memory=MEMORY).run(
         order, CLOCK.now_ms() + 5_000
     )
     listener.close()
@@ -181,7 +183,9 @@
             closed.set()
 
     upstream = start_upstream(answer)
-    connection = SubrequestConnection(record=upstream.describe("u"), clock=CLOCK)
+    connection = SubrequestConnection(
+        record=upstream.describe("u"), clock=CLOCK, reply_memory=MEMORY
+    )
     run_subrequest(upstream, QUERY, connection)
     assert closed.wait(5)
     assert isinstance(run_subrequest(upstream, ORDER, connection), SubrequestCompleted)
@@ -192,7 +196,9 @@
     start_upstream,
 ):
     upstream = start_upstream(lambda request: request.complete())
-    connection = SubrequestConnection(record=upstream.describe("u"), clock=CLOCK)
+    connection = SubrequestConnection(
+        record=upstream.describe("u"), clock=CLOCK, reply_memory=MEMORY
+    )
     run_subrequest(upstream, QUERY, connection)
     # A closed write side makes the first write fail, as does a reset that arrives
     # after the check for a closed connection.
@@ -208,7 +214,9 @@
             return super().now_ms() + self.offset_ms
 
     upstream, clock = start_upstream(lambda request: request.complete()), OffsetClock()
-    connection = SubrequestConnection(record=upstream.describe("u"), clock=clock)
+    connection = SubrequestConnection(
+        record=upstream.describe("u"), clock=clock, reply_memory=MEMORY
+    )
     for subrequest in (QUERY, ORDER):
         connection.run(subrequest, clock.now_ms() + 2000)
     assert upstream.connections == 1
@@ -230,7 +238,9 @@
         repeated.set()
 
     upstream = start_upstream(answer)
-    connection = SubrequestConnection(record=upstream.describe("u"), clock=CLOCK)
+    connection = SubrequestConnection(
+        record=upstream.describe("u"), clock=CLOCK, reply_memory=MEMORY
+    )
     run_subrequest(upstream, QUERY, connection)
     assert repeated.wait(5)
     second = dataclasses.replace(QUERY, id="s-2", shard="y")
@@ -255,7 +265,9 @@
 
 def test_cancel_names_the_subrequest(start_upstream):
     upstream = start_upstream(lambda request: request.reply(200))
-    connection = SubrequestConnection(record=upstream.describe("u"), clock=CLOCK)
+    connection = SubrequestConnection(
+        record=upstream.describe("u"), clock=CLOCK, reply_memory=MEMORY
+    )
     assert connection.cancel("s-1")
     assert (upstream.requests[0].path, upstream.requests[0].body) == (
         "/cancel",
--- a/tests/test_faulty_replies.py
+++ b/tests/test_faulty_replies.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import queue
+import sys
 
 import pytest
 
@@ -29,6 +30,7 @@
     UnknownCoding,
     send_reply,
 )
+from harness import create_reply_memory, wait_until
 from http_scripted import PROOF, HttpUpstream
 from test_connections import ConnectionDriver
 
@@ -60,6 +62,16 @@
 LAST_CHUNK_CUTS = [b"", b"0", b"0\r", b"0\r\n", b"0\r\nX-A: b\r\n", b"00"]
 
 
+MEMORY_LIMIT_BYTES = 32 * 1024 * 1024
+UNFINISHED_BODY_BYTES = 3_000_000
+
+
+def send_unfinished_body(request):
+    request.reply(200, b"", content_length="")
+    with contextlib.suppress(OSError):
+        request.sock.sendall(b"x" * UNFINISHED_BODY_BYTES)
+
+
 def name_fault(fault):
     return repr(fault).replace("()", "")
 
@@ -120,6 +132,58 @@
     assert not exchange.driver.is_open
 
 
+def test_endless_bodies_on_many_connections_do_not_use_up_the_memory():
+    """Guards against an instance that ends because its upstreams send without end.
+
+    Each body stays below the limit of one reply, and together they would take 120 MB,
+    more than a small machine has left.
+    """
+    memory = create_reply_memory(limit_bytes=MEMORY_LIMIT_BYTES)
+    upstream = HttpUpstream(send_unfinished_body)
+    drivers = [
+        ConnectionDriver(upstream.create_record(), reply_memory=memory)
+        for _ in range(40)
+    ]
+    for driver in drivers:
+        driver.start_exchange(budget_ms=60_000.0)
+    least_failed = len(drivers) - MEMORY_LIMIT_BYTES // UNFINISHED_BODY_BYTES
+    wait_until(
+        lambda: sum(driver.results.qsize() for driver in drivers) >= least_failed,
+        message="too many unfinished replies are held",
+    )
+    failed = [driver.results.get() for driver in drivers if driver.results.qsize()]
+    assert set(failed) == {Broken(reason="reply_memory_full")}
+    assert memory.reserved_bytes <= MEMORY_LIMIT_BYTES
+    for driver in drivers:
+        driver.close()
+    upstream.close()
+    assert memory.reserved_bytes == 0
+
+
+@pytest.mark.parametrize("whole", [True, False])
+def test_a_closed_parser_is_freed_without_the_garbage_collector(whole):
+    # Guards against bodies that stay in memory long after their replies have failed.
+    parser = ReplyParser(method="GET", memory=create_reply_memory())
+    length = 1_000 if whole else 2_000
+    parser.feed(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length)
+    parser.feed(b"x" * 1_000)
+    parser.close()
+    # One reference is the variable, the other the argument.
+    assert sys.getrefcount(parser) == 2
+    assert parser._body == []
+
+
+def test_usual_replies_are_read_while_others_use_up_the_memory():
+    # Guards against requests of other callers that fail with the endless ones.
+    memory = create_reply_memory(limit_bytes=1)
+    upstream = HttpUpstream(lambda request: request.reply(200, b"x" * 60_000))
+    driver = ConnectionDriver(upstream.create_record(), reply_memory=memory)
+    driver.start_exchange(budget_ms=60_000.0)
+    assert len(driver.results.get(timeout=30).reply.body) == 60_000
+    driver.close()
+    upstream.close()
+
+
 @pytest.mark.parametrize("end", LAST_CHUNK_CUTS)
 def test_a_chunked_body_without_its_end_is_not_whole(start_exchange, end):
     # Guards against a success for a body that was cut off in or before its last chunk.
@@ -133,7 +197,7 @@
     # within the head or the body of its reply.
     sink = Sink()
     send_reply(sink, headers=HEADERS, body=BODY, fault=CutAt(size=size))
-    parser = ReplyParser(method="GET")
+    parser = ReplyParser(method="GET", memory=create_reply_memory())
     if sink.data:
         parser.feed(sink.data)
     with pytest.raises(TruncatedReplyError):
@@ -174,7 +238,7 @@
 
 def parse(data, *, method="GET", piece_bytes=None):
     """Returns the parser after feeding it `data`, whole or in pieces."""
-    parser = ReplyParser(method=method)
+    parser = ReplyParser(method=method, memory=create_reply_memory())
     step = piece_bytes or max(1, len(data))
     for start in range(0, len(data), step):
         parser.feed(data[start : start + step])
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -23,6 +23,7 @@
 from gooseberrymux.pools import Pools
 from gooseberrymux.records import Rank, UpstreamState
 from gooseberrymux.replicas import Replica
+from gooseberrymux.reply_memory import ReplyMemory
 from harness import (
     FakeDocuments,
     FakeMembership,
@@ -59,10 +60,9 @@
 class Owner:
     """An instance that owns a service, with real connections to scripted upstreams."""
 
-    def __init__(self, **forwarding):
-        self.kernel = Kernel(
-            settings=create_settings(forwarding=forwarding), clock=Clock()
-        )
+    def __init__(self, *, instance=None, **forwarding):
+        settings = create_settings(instance=instance or {}, forwarding=forwarding)
+        self.kernel = Kernel(settings=settings, clock=Clock())
         self.departures = FakeDepartures()
         for name, fake in {
             "peers": FakePeers(),
@@ -482,6 +482,18 @@
         assert arrived <= 5 + 1
 
 
+def test_a_reply_for_which_no_memory_is_left_is_broken_off():
+    # Guards against an instance that runs out of memory through its upstreams.
+    with open_owner(instance={"reply_memory_bytes": 1024 * 1024}) as owner:
+        owner.add_upstream("u1", lambda request: request.reply(200, b"x" * 2_000_000))
+        owner.submit(attempts=1)
+        (outcome,) = owner.wait_for_outcomes()
+        assert isinstance(outcome, PartUnknown)
+        assert outcome.reason == "reply_memory_full"
+        memory = owner.kernel.find("reply_memory", ReplyMemory)
+        assert memory.reserved_bytes == 0
+
+
 def test_a_refused_connection_costs_no_budget_and_no_attempt():
     with open_owner(extra_share=0.0, extra_slack=1) as owner:
         owner.add_upstream("u1", answer, failure_domain="a").close()
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -15,7 +15,7 @@
     SLOW_FACTOR,
     LatencyEstimate,
 )
-from harness import SteppingClock, create_settings
+from harness import SteppingClock, create_reply_memory, create_settings
 from test_pool import create_call
 
 LATENCY = LatencyEstimate(median_ms=10.0, p95_ms=20.0)
@@ -55,6 +55,7 @@
         self.replicas = ReplicaSet(
             service="s",
             kernel=Kernel(settings=create_settings(), clock=self.clock),
+            reply_memory=create_reply_memory(),
             inventory=self.inventory,
             get_connection_limit=lambda name: connection_limit,
         )
