Read the answer to an order's lookup with the limits of any reply

A thread that looks up an order's outcome read interim replies (100) for as long as an upstream sent them: in a trial 64 MB in 7 s with a time limit of 500 ms, and it ended only as the stand-in did.

Cause: the lookup used http.client, which passes over interim replies without a count, and its time limit held for each read, not for the whole reply. It was the one reader of upstreams' replies beside the strict parser.

Change: the lookup is a call of SubrequestConnection, with one deadline for all reads and the limits of the parser.

Measured: the test with replies of status 100 failed before (64 MB read) and passes with the change; the lookups of the order tests on processes pass.

--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -4,7 +4,6 @@
 itself said that it did not run it; any other failure is reported as unknown.
 """
 
-import http.client
 import socket
 
 import msgspec
@@ -25,7 +24,6 @@
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.reply_parser import (
-    REPLY_LIMIT_BYTES,
     MalformedReplyError,
     ParsedReply,
     ReplyError,
@@ -150,6 +148,40 @@
             self.close()
         return True
 
+    def look_up_order(self, key: str, timeout_ms: float) -> Result[dict | None, str]:
+        """Looks up the reply to an order that the upstream may have run.
+
+        Args:
+            key: Idempotency key of the order.
+            timeout_ms: Longest time to wait for the whole reply, in milliseconds.
+
+        Returns:
+            The reply, or None if the upstream knows no such order; the order may still
+            be on its way to the upstream. Err with the reason if there was no usable
+            reply.
+        """
+        deadline_ms = self._clock.now_ms() + timeout_ms
+        request = f"GET /orders/{key} HTTP/1.1\r\n{self._host_header}\r\n"
+        self._bytes_written = 0
+        try:
+            self._send_request(request.encode("latin-1"), deadline_ms)
+            _, decoded = self._read_response(deadline_ms)
+        except (OSError, ReplyError, urllib3.exceptions.HTTPError) as error:
+            self.close()
+            return Err(classify_error(error))
+        except (ValueError, msgspec.MsgspecError, RecursionError):
+            self.close()
+            return Err(REASON_MALFORMED)
+        match decoded:
+            case {"key": found, "state": "completed", "reply": dict(reply)} if (
+                found == key
+            ):
+                return Ok(reply)
+            case {"state": "not_found"}:
+                return Ok(None)
+            case _:
+                return Err(REASON_MALFORMED)
+
     def _create_request(self, path: str, body: dict, headers: str) -> bytes:
         # Head and body are sent in one segment; `http.client` would send two.
         encoded = _encoder.encode(body)
@@ -350,39 +382,3 @@
     if status == 200:
         return Err(REASON_MALFORMED)
     return Err(str(decoded.get("error", f"status_{status}")))
-
-
-def look_up_order(
-    *, record: UpstreamRecord, key: str, timeout_ms: float
-) -> Result[dict | None, str]:
-    """Looks up the reply to an order at the upstream that may have run it.
-
-    Args:
-        record: The upstream.
-        key: Idempotency key of the order.
-        timeout_ms: Timeout of each socket operation, in milliseconds.
-
-    Returns:
-        The reply, or None if the upstream knows no such order; the order may still
-        be on its way to the upstream. Err with the reason if there was no usable reply.
-    """
-    connection = urllib3.connection.HTTPConnection(
-        record.host, record.port, timeout=timeout_ms / 1000
-    )
-    try:
-        connection.request("GET", f"/orders/{key}", preload_content=False)
-        response = connection.getresponse()
-        decoded = _decoder.decode(response.read(REPLY_LIMIT_BYTES))
-    except (ValueError, msgspec.MsgspecError, RecursionError):
-        return Err(REASON_MALFORMED)
-    except (OSError, urllib3.exceptions.HTTPError, http.client.HTTPException):
-        return Err(REASON_BROKEN)
-    finally:
-        connection.close()
-    match decoded:
-        case {"key": found, "state": "completed", "reply": dict(reply)} if found == key:
-            return Ok(reply)
-        case {"state": "not_found"}:
-            return Ok(None)
-        case _:
-            return Err(REASON_MALFORMED)
--- a/packages/gooseberrymux/src/gooseberrymux/orders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/orders.py
@@ -9,7 +9,7 @@
 import uuid6
 from result import Err, Ok, Result
 
-from gooseberrymux import exchange, journal
+from gooseberrymux import journal
 from gooseberrymux.attempts import (
     CODE_NO_REPLICA,
     MESSAGE_MAY_HAVE_RUN,
@@ -22,6 +22,7 @@
 from gooseberrymux.claim_entries import ClaimEntry, ClaimState
 from gooseberrymux.claims import Claims
 from gooseberrymux.configuration import ConfigurationService
+from gooseberrymux.exchange import create_subrequest_connection
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.keys import check_age, hash_order, pick_shard
@@ -65,7 +66,15 @@
 
 @service(
     "orders",
-    requires=("calls", "claims", "configuration", "snapshots", "inventory", "routing"),
+    requires=(
+        "calls",
+        "claims",
+        "configuration",
+        "snapshots",
+        "inventory",
+        "reply_memory",
+        "routing",
+    ),
 )
 class Orders:
     """Runs orders, each in the thread that handles the caller's request."""
@@ -328,11 +337,13 @@
             remaining_ms = until_ms - self._kernel.clock.now_ms()
             if remaining_ms <= 0:
                 return None
-            lookup = exchange.look_up_order(
-                record=replica,
-                key=entry.key,
-                timeout_ms=min(remaining_ms, LOOKUP_TIMEOUT_MS),
+            connection = create_subrequest_connection(
+                record=replica, kernel=self._kernel
             )
+            lookup = connection.look_up_order(
+                entry.key, min(remaining_ms, LOOKUP_TIMEOUT_MS)
+            )
+            connection.close()
             match lookup:
                 case Ok(dict(reply)):
                     completion = Complete(
--- a/packages/gooseberrystand/src/gooseberrystand/faulty_replies.py
+++ b/packages/gooseberrystand/src/gooseberrystand/faulty_replies.py
@@ -16,7 +16,6 @@
 STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
 CHUNKED_END = b"Transfer-Encoding: chunked\r\n\r\n"
 NONSENSE = b"\x00nonsense\n" * 64
-INTERIM_REPLY = b"HTTP/1.1 103 Early Hints\r\n\r\n"
 
 
 @_frozen
@@ -36,7 +35,13 @@
 
 @_frozen
 class EndlessInterimReplies:
-    """Interim (1xx) replies without end."""
+    """Interim (1xx) replies without end.
+
+    Attributes:
+        status: Status of each; HTTP libraries pass over some of them by themselves.
+    """
+
+    status: int = 103
 
 
 @_frozen
@@ -170,8 +175,9 @@
             )
         case EndlessEmptyLines():
             return EndlessReply(start=b"", create_piece=lambda n: b"\r\n" * 512)
-        case EndlessInterimReplies():
-            return EndlessReply(start=b"", create_piece=lambda n: INTERIM_REPLY)
+        case EndlessInterimReplies(status=status):
+            interim_reply = b"HTTP/1.1 %d Interim\r\n\r\n" % status
+            return EndlessReply(start=b"", create_piece=lambda n: interim_reply)
         case EndlessNonsense():
             return EndlessReply(
                 start=b"", create_piece=lambda n: b"\x00nonsense\n" * 64
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -2,13 +2,19 @@
 
 import contextlib
 import dataclasses
+import json
+import queue
 import socket
 import threading
 
 import pytest
+from result import Err, Ok
 
 from gooseberrymux.clock import Clock
-from gooseberrymux.exchange import ORDER_IDLE_LIMIT_MS, SubrequestConnection
+from gooseberrymux.exchange import (
+    ORDER_IDLE_LIMIT_MS,
+    SubrequestConnection,
+)
 from gooseberrymux.messages import (
     Subrequest,
     SubrequestCompleted,
@@ -16,6 +22,12 @@
     SubrequestUnknown,
 )
 from gooseberrymux.records import Rank, UpstreamRecord
+from gooseberrystand.faulty_replies import (
+    EndlessBody,
+    EndlessHead,
+    EndlessInterimReplies,
+    send_reply,
+)
 from harness import create_reply_memory
 from scripted import ScriptedUpstream
 
@@ -33,6 +45,18 @@
 ORDER = dataclasses.replace(QUERY, order_key="k", body={"n": 1})
 
 
+# With the sockets' buffers; the fault goes on for far longer.
+LOOKUP_READ_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+def look_up(record):
+    connection = SubrequestConnection(record=record, clock=CLOCK, reply_memory=MEMORY)
+    try:
+        return connection.look_up_order("k", 2_000.0)
+    finally:
+        connection.close()
+
+
 def run_subrequest(upstream, subrequest=QUERY, connection=None, budget_ms=2000.0):
     connection = connection or SubrequestConnection(
         record=upstream.describe("u"), clock=CLOCK, reply_memory=MEMORY
@@ -54,6 +78,45 @@
             upstream.close()
 
 
+@pytest.mark.parametrize(
+    "fault",
+    [EndlessInterimReplies(status=100), EndlessHead(), EndlessBody()],
+    ids=repr,
+)
+def test_a_lookup_ends_at_a_limit_whatever_the_upstream_sends(start_upstream, fault):
+    # Guards against a thread that reads interim replies for as long as they come.
+    sent_bytes = queue.Queue()
+
+    def answer(request):
+        sent_bytes.put(send_reply(request.sock, headers=b"", body=b"", fault=fault))
+
+    upstream = start_upstream(answer)
+    result = look_up(upstream.describe("u"))
+    assert isinstance(result, Err)
+    assert sent_bytes.get(timeout=30) < LOOKUP_READ_LIMIT_BYTES
+
+
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        ({"key": "k", "state": "completed", "reply": {"n": 1}}, Ok({"n": 1})),
+        ({"state": "not_found"}, Ok(None)),
+        ({"key": "other", "state": "completed", "reply": {}}, Err("malformed_reply")),
+        ([], Err("malformed_reply")),
+    ],
+)
+def test_the_outcome_of_an_order_is_looked_up_by_its_key(
+    start_upstream, body, expected
+):
+    def answer(request):
+        assert request.path == "/orders/k"
+        data = json.dumps(body).encode()
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(data)
+        request.sock.sendall(head + data)
+
+    assert look_up(start_upstream(answer).describe("u")) == expected
+
+
 def test_completed(start_upstream):
     outcome = run_subrequest(start_upstream(lambda request: request.complete()))
     assert isinstance(outcome, SubrequestCompleted)
