--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -71,6 +71,17 @@
         publish_upstreams(self.kernel, 1, records)
         return self.open_sockets
 
+    def publish_replicas(self, services, count, behaviour):
+        """Publishes `count` upstreams for each service."""
+        records = []
+        for service in services:
+            for number in range(count):
+                upstream = HttpUpstream(behaviour)
+                self.open_sockets.append(upstream)
+                name = f"u-{service}-{number}"
+                records.append(upstream.create_record(name, service=service))
+        publish_upstreams(self.kernel, 1, records)
+
     def open_caller(self, address=None):
         caller = HttpCaller(address or self.address)
         self.open_sockets.append(caller)
