Wait for both greetings in the test of a silent connection

Cause, in the test: of the two lists of received messages only one was cleared before the second greetings, so the wait for them ended before the message to the other side was in. Coming late, it was compared with the message that the test is about.

Change: both lists are cleared first. What is asserted stays.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -296,7 +296,9 @@
         exchange_greetings(one, two)
         proxy = Proxy(target_port=two.address.port)
         one.peers.connect(name="two", address=Address(port=proxy.port))
+        # Both, so that the greetings wait for the second message to each side.
         one.received.clear()
+        two.received.clear()
         exchange_greetings(one, two)
         two.received.clear()
         proxy.drop_all_data()
