--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -38,7 +38,9 @@
 
 def send_deadly_requests(env, count):
     for number in range(count):
-        status, _, _ = env.open_caller().get(DEADLY_TARGET, x_request_id=f"r-{number}")
+        status, _, _ = env.open_caller().get(
+            DEADLY_TARGET, **{"x-request-id": f"r-{number}"}
+        )
         assert status in (502, 503, 504)
 
 
