--- a/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
+++ b/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
@@ -144,7 +144,10 @@
         self._complete()
 
     def close(self) -> None:
-        """Frees the memory of the reply's pieces; only `reply` may be used then."""
+        """Frees the pieces of the reply and the memory that they have reserved.
+
+        Only the public attributes may be used after this.
+        """
         self._body.clear()
         # The parser refers back to this object, so the garbage collector alone would
         # free both, at a later time.
