--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -3,6 +3,8 @@
 import contextlib
 import dataclasses
 import queue
+import re
+import socket
 import threading
 
 import pytest
@@ -17,7 +19,7 @@
     encode_head,
 )
 from gooseberrymux.forward_messages import ForwardCall
-from gooseberrymux.records import Rank
+from gooseberrymux.records import Rank, UpstreamRecord
 from gooseberrymux.settings import HeaderNames
 from harness import create_reply_memory, wait_until
 from http_scripted import PROOF, HttpUpstream
@@ -456,6 +458,76 @@
     upstream.close()
 
 
+class EarlyAnsweringUpstream:
+    """Answers the second request before it has read the body, and reads on later.
+
+    Attributes:
+        body: What came where the body of the second request is due.
+    """
+
+    def __init__(self):
+        self.body = b""
+        self.reads_on = threading.Event()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        # A small window, so that the rest of the body can't be written before.
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def create_record(self):
+        return UpstreamRecord(
+            name="u",
+            service="s",
+            failure_domain="a",
+            host="127.0.0.1",
+            port=self._listener.getsockname()[1],
+            slots=2,
+        )
+
+    def _serve(self):
+        sock, _ = self._listener.accept()
+        for _ in range(2):
+            self._reject(sock)
+        self.reads_on.wait(5)
+        sock.settimeout(1.0)
+        with contextlib.suppress(OSError):
+            while data := sock.recv(65_536):
+                self.body += data
+        sock.close()
+
+    def _reject(self, sock):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += sock.recv(4_096)
+        head, self.body = data.split(b"\r\n\r\n", 1)
+        request_id = re.search(rb"(?i)x-request-id: (\S+)", head)[1]
+        sock.sendall(
+            b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n"
+            b"X-Request-Id: %b\r\n\r\n" % request_id
+        )
+
+    def close(self):
+        self._thread.join(10)
+        self._listener.close()
+
+
+# Guards against a request that an upstream reads as the rest of the body before: it has
+# answered that request early, while its body was still being written.
+def test_no_request_follows_on_a_socket_while_a_body_is_being_written():
+    upstream = EarlyAnsweringUpstream()
+    driver = ConnectionDriver(upstream.create_record())
+    body = b"b" * 8_000_000
+    assert isinstance(run_exchange(driver), Declined)
+    long = run_exchange(driver, dataclasses.replace(ORDER, body=body))
+    assert isinstance(long, Declined)
+    next_order = dataclasses.replace(ORDER, request_id="r-3", body=b"next")
+    driver.start_exchange(next_order, 1_500.0)
+    upstream.reads_on.set()
+    upstream.close()
+    driver.close()
+    assert set(upstream.body[: len(body)]) <= {ord("b")}
+
+
 @pytest.mark.parametrize(
     "fields", [{"port": 70_000}, {"host": "a..b"}, {"host": "x" * 300}]
 )
