--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -12,10 +12,10 @@
 
 
 class CrashingUpstreams:
-    """Upstreams that each end under the deadly request and stay away.
+    """Upstreams that reset the connection of the deadly request, as in a crash.
 
     Attributes:
-        crashes: Sends of the deadly request.
+        crashes: Sends of the deadly request; each would end its upstream.
     """
 
     def __init__(self):
