Let the age of the last proof decide who reads the platform

Cause: who reads was decided from reports of calls that had failed. A silent watch is reported only at its timeout, 7 s, which no promise had set; and reports move the reading among six candidates only, so that nobody read once these were cut off, though 19 others were answered all the while. The class: work of a few for all that is handed on only by whoever fails.

Each read now proves the documents as current at a time. The proof goes through the fleet with its age, and counts only where the documents that it names are in force. An instance whose last proof gets old reads by itself, the higher ranks first, all by half of the staleness bound, whatever keeps the readers and however it shows. All waits on that way are shares of the bound, which the deployment names (configApplyMs). It holds for the list of upstreams too, which is read in the same way.

--- a/packages/gooseberrymux/src/gooseberrymux/document_table.py
+++ b/packages/gooseberrymux/src/gooseberrymux/document_table.py
@@ -253,12 +253,20 @@
             complete=complete,
         )
 
+    def find_newer(self, digests: Sequence[DocumentDigest]) -> list[str]:
+        """Returns the names of the digests that are newer than the current copy."""
+        return [digest.name for digest in digests if self._is_newer(digest)]
+
+    def _is_newer(self, digest: DocumentDigest) -> bool:
+        known = self._documents.get(digest.name)
+        return known is None or get_sort_key(digest) > get_sort_key(known)
+
     def compare_offer(self, offer: DocumentOffer) -> OfferComparison:
         """Returns which documents to request and to send in answer to an offer."""
         names_to_request, documents_to_send, conflicting_names = [], [], []
         for digest in offer.digests:
             known = self._documents.get(digest.name)
-            if known is None or get_sort_key(digest) > get_sort_key(known):
+            if self._is_newer(digest):
                 names_to_request.append(digest.name)
             elif get_sort_key(digest) < get_sort_key(known):
                 documents_to_send.append(known)
--- a/packages/gooseberrymux/src/gooseberrymux/documents.py
+++ b/packages/gooseberrymux/src/gooseberrymux/documents.py
@@ -1,7 +1,9 @@
 """Replicated read-only copies of platform objects; the highest generation wins.
 
 A few instances watch the platform. All others receive changes from peers, by push and
-by periodic exchange, because each waiting watch counts as a call to the platform.
+by periodic exchange, because each waiting watch counts as a call to the platform. Those
+few also send proofs that the documents are current; an instance whose latest proof gets
+old reads the platform itself.
 """
 
 import dataclasses
@@ -40,8 +42,9 @@
 from gooseberrymux.platform import Platform
 from gooseberrymux.platform_objects import PlatformObject, WatchedChanges
 from gooseberrymux.platform_watch import PlatformWatch
+from gooseberrymux.proof_exchange import ProofExchange
+from gooseberrymux.reader_selection import ReaderSelection
 from gooseberrymux.records import InstanceIdentity
-from gooseberrymux.watcher_selection import WatcherSelection
 
 # A larger body or delta is announced to some of the peers by its digest instead, so
 # that a peer to which several others push the same change receives the content once.
@@ -91,7 +94,7 @@
         "_table",
         "_apply_lock",
         "_signal",
-        "_watcher_selection",
+        "_proofs",
         "_watches",
         "_required_names",
         "_content_compared_prefixes",
@@ -109,11 +112,12 @@
         # apply another document.
         self._apply_lock = threading.RLock()
         self._signal = ChangeSignal(clock=kernel.clock)
-        self._watcher_selection = WatcherSelection(
+        self._proofs = ProofExchange(
             kernel=kernel,
             peers=self._peers,
-            membership=self._membership,
-            on_change=self._signal.notify,
+            list_digests=self._list_digests_of_prefix,
+            find_newer=self._table.find_newer,
+            request=self._send_request,
         )
         self._watches: dict[str, PlatformWatch] = {}
         self._required_names: list[str] = []
@@ -127,6 +131,7 @@
 
     def start(self) -> None:
         """Starts one thread for each watched prefix and one for the exchange."""
+        metrics.proof_age_ms.read_from(self._proofs.compute_ages_ms)
         for prefix, watch in self._watches.items():
             self._kernel.spawn(name=f"documents.watch.{prefix}", target=watch.run)
         self._kernel.spawn(name="documents.exchange", target=self._run_exchange)
@@ -139,7 +144,7 @@
         self._signal.stop()
 
     def describe(self) -> dict:
-        """Returns documents, unresolved problems, watched prefixes, cut-off members."""
+        """Returns documents, unresolved problems, prefixes read here and proof ages."""
         return {
             "documents": {
                 doc.name: {"generation": doc.generation, "hash": doc.hash}
@@ -149,9 +154,16 @@
             "watching": sorted(
                 prefix for prefix, watch in self._watches.items() if watch.is_active
             ),
-            "cut_off_from_platform": self._watcher_selection.list_cut_off(),
+            "proof_ages_ms": self._proofs.compute_ages_ms(),
         }
 
+    def compute_proof_age_ms(self) -> float:
+        """Returns the age in milliseconds of the oldest of the prefixes' latest proofs.
+
+        It counts from the start of this instance until the first proof of a prefix.
+        """
+        return max(self._proofs.compute_ages_ms().values(), default=0.0)
+
     def watch_prefix(
         self, prefix: str, *, required: str | None = None, compare_content: bool = False
     ) -> None:
@@ -169,19 +181,32 @@
         if compare_content:
             self._content_compared_prefixes.append(prefix)
         if prefix not in self._watches:
-            self._watches[prefix] = PlatformWatch(
-                prefix=prefix,
-                kernel=self._kernel,
-                platform=self._platform,
-                membership=self._membership,
-                watcher_selection=self._watcher_selection,
-                signal=self._signal,
-                has_documents=lambda: self._has_documents(prefix),
-                apply_changes=self._apply_changes,
-            )
+            self._watches[prefix] = self._create_watch(prefix)
         if required is not None:
             self._required_names.append(required)
 
+    def _create_watch(self, prefix: str) -> PlatformWatch:
+        proofs = self._proofs.add_prefix(prefix)
+        return PlatformWatch(
+            prefix=prefix,
+            kernel=self._kernel,
+            platform=self._platform,
+            membership=self._membership,
+            selection=ReaderSelection(
+                kernel=self._kernel,
+                name=self._peers.identity.name,
+                membership=self._membership,
+                proofs=proofs,
+            ),
+            proofs=proofs,
+            signal=self._signal,
+            has_documents=lambda: self._has_documents(prefix),
+            apply_changes=self._apply_changes,
+            publish_proof=lambda proven_ms: self._proofs.publish(
+                prefix=prefix, proven_ms=proven_ms
+            ),
+        )
+
     def register_check(self, prefix: str, check: BodyCheck) -> None:
         """Sets the check that documents under a prefix must pass to be applied."""
         self._table.register_check(prefix, check)
@@ -271,6 +296,7 @@
                     self._publish_change(document, source)
         self._signal.notify()
         self._push(document, source)
+        self._proofs.check_waiting()
         return True
 
     def _report_older_copy(self, found: PlatformObject, *, era: int) -> None:
@@ -343,6 +369,11 @@
         error = DocumentError(step=step, peer=source, message=f"{name}: {problem}")
         journal.record_fault(step=step, peer=source, error=error)
 
+    def _list_digests_of_prefix(self, prefix: str) -> list[DocumentDigest]:
+        return [
+            digest for digest in self.list_digests() if digest.name.startswith(prefix)
+        ]
+
     def _has_documents(self, prefix: str) -> bool:
         return any(
             document.name.startswith(prefix)
--- a/packages/gooseberrymux/src/gooseberrymux/messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/messages.py
@@ -268,16 +268,26 @@
 
 
 @_message
-class PlatformReach:
-    """Tells whether the sender reaches the platform.
-
-    Sent to the other candidates for watching the platform's documents.
+class FreshnessProof:
+    """Says that copies of documents were current at a time; see `proofs`.
 
     Attributes:
-        is_reached: Whether the sender's latest call to the platform was answered.
+        prefix: Prefix of the documents' names.
+        reader: Instance that read the platform.
+        incarnation: Incarnation of the reader.
+        sequence: Number of the proof in that run of the reader.
+        age_ms: How long before `sent_ms` the copies were current.
+        sent_ms: The sender's `Clock.boot_ms` when this message was created.
+        digests: The copies of all documents with the prefix.
     """
 
-    is_reached: bool
+    prefix: str
+    reader: str
+    incarnation: int
+    sequence: int
+    age_ms: float
+    sent_ms: float
+    digests: list[DocumentDigest]
 
 
 @_message
@@ -423,7 +433,7 @@
     DocumentRequest,
     DocumentBody,
     DocumentDelta,
-    PlatformReach,
+    FreshnessProof,
     LeavingNotice,
     ClaimRequest,
     OutcomeRecord,
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -1,6 +1,7 @@
 """Metrics of one instance, rendered in the Prometheus text format."""
 
 import threading
+from collections.abc import Callable
 
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
 
@@ -43,6 +44,31 @@
                 self._counter.add(dict(zip(self._labels, values, strict=True)), count)
 
 
+class SampledGauge:
+    """A gauge whose values are read when the metrics are rendered.
+
+    Args:
+        gauge: The gauge that is rendered.
+        label: Name of its label.
+    """
+
+    __slots__ = ("_gauge", "_label", "_read")
+
+    def __init__(self, *, gauge: Gauge, label: str):
+        self._gauge = gauge
+        self._label = label
+        self._read: Callable[[], dict[str, float]] = dict
+
+    def read_from(self, read: Callable[[], dict[str, float]]) -> None:
+        """Sets the function that returns the values by label."""
+        self._read = read
+
+    def sample(self) -> None:
+        """Reads the present values into the library's gauge."""
+        for label, value in self._read().items():
+            self._gauge.set({self._label: label}, value)
+
+
 requests_total = Counter(
     "gooseberrymux_requests_total", "Caller requests by kind, rank and outcome."
 )
@@ -68,6 +94,14 @@
 generation = Gauge(
     "gooseberrymux_generation", "Generation in force of each replicated document."
 )
+proof_age_ms = SampledGauge(
+    gauge=Gauge(
+        "gooseberrymux_document_proof_age_ms",
+        "Age in milliseconds of the latest proof that the documents of a prefix are "
+        "current.",
+    ),
+    label="prefix",
+)
 members = Gauge("gooseberrymux_members", "Known instances by state.")
 peers_lost_total = Counter(
     "gooseberrymux_peers_lost_total", "Losses of a link with calls, by reason."
@@ -125,4 +159,5 @@
         accept: The `Accept` header of the scrape; empty selects the default format.
     """
     sends_total.flush()
+    proof_age_ms.sample()
     return render(REGISTRY, [accept] if accept else [])
--- a/packages/gooseberrymux/src/gooseberrymux/platform.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform.py
@@ -27,10 +27,8 @@
     get_body,
 )
 from gooseberrymux.records import RunState
+from gooseberrymux.staleness import compute_read_timeout_ms
 
-# A watch without changes is answered only at its own timeout; the margin lets that
-# response arrive before the client's timeout.
-WATCH_MARGIN_MS = 2_000
 # Largest request body of a conditional update.
 BODY_LIMIT_BYTES = 1_000_000
 # The response to a list call holds many objects; a longer response is a fault of the
@@ -183,13 +181,16 @@
         return self._run(call).and_then(decode_changes)
 
     def watch(
-        self, *, prefix: str, revision: int
+        self, *, prefix: str, revision: int, wait_ms: int
     ) -> Result[WatchedChanges, PlatformError]:
         """Waits for changes after `revision` to objects with names under `prefix`.
 
-        Returns without objects if there is no change within `watch_timeout_ms`.
+        Args:
+            prefix: Prefix of the names.
+            revision: Revision of the last answer; 0 reads all objects.
+            wait_ms: Time in milliseconds after which an answer without objects is
+                returned if there is no change.
         """
-        timeout_ms = self._kernel.settings.platform.watch_timeout_ms
         call = Call(
             kind="watch",
             method="GET",
@@ -197,12 +198,17 @@
             fields={
                 "prefix": prefix,
                 "after": str(revision),
-                "timeout_ms": str(timeout_ms),
+                "timeout_ms": str(wait_ms),
             },
-            timeout_ms=timeout_ms + WATCH_MARGIN_MS,
+            timeout_ms=wait_ms
+            + compute_read_timeout_ms(self._kernel.settings.platform),
         )
         return self._run(call).and_then(decode_changes)
 
+    def drop_idle_connections(self) -> None:
+        """Closes the connections without a call; the next calls open new ones."""
+        self._http.clear()
+
     def _run(self, call: Call) -> Result[PlatformAnswer, PlatformError]:
         if not self._acquire_call_slot(call):
             self._count(call, "refused")
@@ -286,6 +292,8 @@
                 )
             )
         except urllib3.exceptions.HTTPError as error:
+            # The other connections may have gone silent or been reset with this one.
+            self.drop_idle_connections()
             return Err(create_response_error(call, str(error)))
         if response.status in REFUSED_STATUSES:
             response.drain_conn()
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -83,7 +83,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class PlatformSettings:
-    """Address of the platform's object API, and limits of calls and watches."""
+    """Address of the platform's object API, and limits of calls and watches.
+
+    Attributes:
+        url: Address of the object API.
+        timeout_ms: Longest wait for one call.
+        calls_in_flight: Concurrent calls of one instance, not counting watches.
+        watchers: Instances that read the platform all the time.
+        watch_timeout_ms: Longest time that a watch stays open.
+        watch_pause_ms: Wait after a watch that brought changes.
+        staleness_bound_ms: Time from the acknowledgement of a change within which it
+            is in force on all instances, if any of them can read the platform.
+    """
 
     url: str
     timeout_ms: DurationMs = 1_000
@@ -91,6 +102,7 @@
     watchers: Count = 2
     watch_timeout_ms: DurationMs = 10_000
     watch_pause_ms: Annotated[int, Meta(ge=0)] = 0
+    staleness_bound_ms: Annotated[float, Meta(gt=0)] = 13_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gooseberrymux/src/gooseberrymux/status.py
+++ b/packages/gooseberrymux/src/gooseberrymux/status.py
@@ -114,6 +114,7 @@
             "incarnation": identity.incarnation,
             "state": self._determine_state(),
             "generation": current.generation if current else None,
+            "proof_age_ms": round(self._documents.compute_proof_age_ms()),
             "documents": {
                 digest.name: digest.generation
                 for digest in self._documents.list_digests()
--- a/packages/gooseberrystand/src/gooseberrystand/proxy.py
+++ b/packages/gooseberrystand/src/gooseberrystand/proxy.py
@@ -47,12 +47,14 @@
         port: Port on which the proxy listens.
         delay_ms: Delay before each chunk is forwarded, in milliseconds.
         refuses_connections: Whether new connections are reset as soon as accepted.
+        is_silent: Whether all data of new connections is discarded.
     """
 
     __slots__ = (
         "port",
         "delay_ms",
         "refuses_connections",
+        "is_silent",
         "_target",
         "_listener",
         "_connections",
@@ -62,6 +64,7 @@
     def __init__(self, *, target_port: int, port: int = 0):
         self.delay_ms = 0.0
         self.refuses_connections = False
+        self.is_silent = False
         self._clock = Clock()
         self._target = (HOST, target_port)
         self._connections: list[ProxiedConnection] = []
@@ -117,6 +120,7 @@
             # Added to the list after its sockets are set up, since another thread that
             # calls reset() closes the sockets of all connections in the list.
             connection = ProxiedConnection(client=client, target=target)
+            connection.drops_requests = connection.drops_replies = self.is_silent
             self._connections.append(connection)
             for source, sink in ((client, target), (target, client)):
                 threading.Thread(
--- a/tests/control_fakes.py
+++ b/tests/control_fakes.py
@@ -55,6 +55,9 @@
     def now_ms(self) -> float:
         return self._now_ms
 
+    def boot_ms(self) -> float:
+        return self._now_ms
+
     def sleep_ms(self, duration_ms: float) -> None:
         self._now_ms += duration_ms
 
--- a/tests/machines/test_deploy.py
+++ b/tests/machines/test_deploy.py
@@ -28,6 +28,7 @@
         "retryBudgetRatio": 0.2,
         "retryBudgetSlack": 54,
         "budgetWindowS": 10,
+        "configApplyMs": 3_000,
     },
     "platform": {"address": "10.200.1.7:8102"},
 }
@@ -53,9 +54,17 @@
     assert [str(seed) for seed in settings.membership.seeds] == FIELDS["seeds"]
     assert settings.platform.url == "http://10.200.1.7:8102"
     assert settings.forwarding.extra_window_s == 10
+    assert settings.platform.staleness_bound_ms == 3_000
     assert settings.settle_ms < settings.drain_timeout_ms < 6_000
 
 
+def test_a_deployment_that_names_no_bound_of_changes_gets_the_default():
+    # Guards against an instance that fails to start where the promise is not in force.
+    bounds = {**FIELDS["bounds"]}
+    del bounds["configApplyMs"]
+    assert read_settings(bounds=bounds).platform.staleness_bound_ms > 0
+
+
 def test_fractions_and_missing_seeds_are_no_hindrance():
     # Guards against an instance that fails to start on a deployment with fractions as
     # limits or without seeds.
@@ -64,10 +73,12 @@
         "graceS": 4.5,
         "budgetWindowS": 2.5,
         "retryBudgetSlack": 7.5,
+        "configApplyMs": 2_500.5,
     }
     settings = read_settings(bounds=bounds, seeds=[])
     assert settings.membership.seeds == []
     assert settings.forwarding.extra_window_s == 2.5
+    assert settings.platform.staleness_bound_ms == 2_500.5
     assert settings.drain_timeout_ms < 4_500
 
 
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -19,6 +19,8 @@
 ROOT = Path(__file__).parents[2]
 SETTINGS_TEMPLATE = ROOT / "deploy" / "settings.yaml.tmpl"
 STOP_GRACE_S = 6
+# Time from the acknowledgement of a change within which it is in force everywhere.
+CONFIG_APPLY_MS = 3_000
 ZONES = ("zone-a", "zone-b", "zone-c")
 HEALTH_CHECK_TIMEOUT_S = 0.5
 DEFAULT_RESTART_DELAY_MS = 300.0
@@ -131,6 +133,7 @@
                 "retryBudgetRatio": 0.2,
                 "retryBudgetSlack": slack,
                 "budgetWindowS": 10,
+                "configApplyMs": CONFIG_APPLY_MS,
             },
             "platform": {"address": f"{HOST}:{self.store_proxy.port}"},
         }
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -2,10 +2,10 @@
 
 import threading
 
-from aioprometheus import REGISTRY, Counter
+from aioprometheus import REGISTRY, Counter, Gauge
 
 from gooseberrymux import metrics
-from gooseberrymux.metrics import BufferedCounter
+from gooseberrymux.metrics import BufferedCounter, SampledGauge
 
 THREADS = 4
 INCREMENTS = 500
@@ -51,3 +51,16 @@
     metrics.sends_total.increment("first", "Replied")
     body, _ = metrics.render_metrics("")
     assert b'gooseberrymux_sends_total{cause="first",outcome="Replied"}' in body
+
+
+def test_a_sampled_gauge_has_the_values_of_the_time_of_the_scrape():
+    # Guards against an age that stands still while nothing happens.
+    gauge = Gauge("test_sampled_ms", "A gauge of a test.")
+    sampled = SampledGauge(gauge=gauge, label="prefix")
+    ages_ms = {"routes/": 10.0}
+    sampled.read_from(lambda: ages_ms)
+    sampled.sample()
+    ages_ms["routes/"] = 70.0
+    sampled.sample()
+    assert gauge.get({"prefix": "routes/"}) == 70.0
+    REGISTRY.deregister("test_sampled_ms")
