--- a/packages/gooseberryctl/src/gooseberryctl/views.py
+++ b/packages/gooseberryctl/src/gooseberryctl/views.py
@@ -3,6 +3,7 @@
 import yaml
 
 from gooseberryctl.output import render_labels, render_table
+from gooseberrymux.clock import MS_PER_S
 
 RANKS = ("urgent", "standard", "patient")
 
@@ -56,12 +57,13 @@
 def render_status(status: dict) -> str:
     """Returns the instances as a table, and the names of those that did not answer."""
     table = render_table(
-        ("INSTANCE", "STATE", "GENERATION", "INCARNATION"),
+        ("INSTANCE", "STATE", "GENERATION", "PROOF AGE", "INCARNATION"),
         [
             (
                 instance["name"],
                 instance.get("state", "?"),
                 instance.get("generation", "?"),
+                render_age(instance.get("proof_age_ms")),
                 instance.get("incarnation", "?"),
             )
             for instance in status.get("instances", [])
@@ -71,6 +73,11 @@
     return f"{table}\nno answer from: {', '.join(silent)}" if silent else table
 
 
+def render_age(age_ms: float | None) -> str:
+    """Returns an age in seconds; `?` if an instance does not report it."""
+    return "?" if age_ms is None else f"{age_ms / MS_PER_S:.1f} s"
+
+
 def render_upstreams(body: dict) -> str:
     """Returns the upstreams of a `/v1/upstreams` reply as a table."""
     return render_table(
