Draw stores that are silent to some instances, and slow ones, in the soak

The soak stalled open connections and reset new ones, or silenced the store to all, which excuses late changes. A store that is silent to some is no excuse: the promises must hold. The draws follow those of the earlier faults, which stay the same for each seed.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,7 +30,9 @@
     ResetPeerConnections,
     Reshard,
     RestoreStore,
+    SilenceStore,
     SkewClock,
+    SlowStore,
     StallPeerConnections,
     StopInstance,
     StoreOutage,
@@ -113,6 +115,8 @@
         match fault:
             case (
                 PartitionStore()
+                | SilenceStore()
+                | SlowStore()
                 | StoreOutage()
                 | DiscardStoreHistory()
                 | ExpireStoreEntries()
@@ -200,6 +204,14 @@
             case PartitionStore(indexes=indexes, active_ms=active_ms):
                 proxies = [world.entries[index].store_proxy for index in indexes]
                 self._block_proxies(fault, proxies, active_ms)
+            case SilenceStore(indexes=indexes, active_ms=active_ms):
+                self._silence_proxies(
+                    [world.entries[index].store_proxy for index in indexes], active_ms
+                )
+            case SlowStore(delay_ms=delay_ms, active_ms=active_ms):
+                self._record_window(fault, active_ms + 1_000)
+                self._set_store_delay(delay_ms)
+                self._schedule(active_ms, lambda: self._set_store_delay(0.0))
             case StoreOutage(status=status, active_ms=active_ms):
                 self._record_window(fault, active_ms + 1_000)
                 world.store.set_faults(status=status, silent=not status)
@@ -264,6 +276,22 @@
 
         self._schedule(active_ms, unblock)
 
+    def _silence_proxies(self, proxies: list, active_ms: float) -> None:
+        for proxy in proxies:
+            proxy.is_silent = True
+            proxy.drop_all_data()
+
+        def end_silence() -> None:
+            for proxy in proxies:
+                proxy.is_silent = False
+                proxy.reset()
+
+        self._schedule(active_ms, end_silence)
+
+    def _set_store_delay(self, delay_ms: float) -> None:
+        for instance in self._world.entries:
+            instance.store_proxy.delay_ms = delay_ms
+
     # Upstreams.
 
     def _pick_upstream(self) -> Upstream | None:
--- a/tests/soak/schedules.py
+++ b/tests/soak/schedules.py
@@ -74,6 +74,25 @@
     active_ms: float
 
 
+@_frozen
+class SilenceStore:
+    """The store answers nothing to some instances, on open and on new connections.
+
+    The promises hold all the while, as the other instances still read the store.
+    """
+
+    indexes: tuple[int, ...]
+    active_ms: float
+
+
+@_frozen
+class SlowStore:
+    """Each piece of data between the store and all instances is delayed."""
+
+    delay_ms: float
+    active_ms: float
+
+
 @_frozen
 class StoreOutage:
     """The store fails all requests.
@@ -217,6 +236,8 @@
     | ReloadInstance
     | SkewClock
     | PartitionStore
+    | SilenceStore
+    | SlowStore
     | StoreOutage
     | DiscardStoreHistory
     | ExpireStoreEntries
@@ -249,11 +270,13 @@
         schedule.append((at_ms, draw_fault(generator, instances)))
         if generator.random() > SIMULTANEOUS_FAULT_PROBABILITY:
             at_ms += generator.expovariate(1.0) * MEAN_FAULT_GAP_MS
-    return schedule + draw_incident_faults(seed, duration_ms)
+    return schedule + draw_incident_faults(seed, duration_ms, instances)
 
 
-def draw_incident_faults(seed: int, duration_ms: float) -> list[tuple[float, Fault]]:
-    """Returns limits and restores, from a generator of their own.
+def draw_incident_faults(
+    seed: int, duration_ms: float, instances: int
+) -> list[tuple[float, Fault]]:
+    """Returns limits, restores, silent and slow stores, from a generator of their own.
 
     The faults of seeds that were kept as regression cases stay the same beside them.
     """
@@ -275,10 +298,30 @@
         )
         for _ in range(generator.randint(0, 1))
     ]
-    return [
+    scheduled = [
         (generator.uniform(FIRST_FAULT_MS, last_ms), fault)
         for fault in (*limits, *restores)
     ]
+    silences = [
+        SilenceStore(
+            indexes=tuple(
+                generator.sample(range(instances), generator.randrange(instances))
+            ),
+            active_ms=generator.uniform(3_000, 10_000),
+        )
+        for _ in range(generator.randint(1, 2))
+    ]
+    slow_stores = [
+        SlowStore(
+            delay_ms=generator.uniform(20, 300),
+            active_ms=generator.uniform(1_000, 5_000),
+        )
+        for _ in range(generator.randint(0, 1))
+    ]
+    return scheduled + [
+        (generator.uniform(FIRST_FAULT_MS, last_ms), fault)
+        for fault in (*silences, *slow_stores)
+    ]
 
 
 def draw_fault(generator: random.Random, instances: int) -> Fault:
