Lower the default of the staleness bound to 5 s

13 s is the promise of the future scale. Deployments that name a bound are not affected. More calls of an idle fleet of the product with two readers and three prefixes: 4.7 a second (reckoned).

--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -102,7 +102,7 @@
     watchers: Count = 2
     watch_timeout_ms: DurationMs = 10_000
     watch_pause_ms: Annotated[int, Meta(ge=0)] = 0
-    staleness_bound_ms: Annotated[float, Meta(gt=0)] = 13_000.0
+    staleness_bound_ms: Annotated[float, Meta(gt=0)] = 5_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
