Drop idle connections to the platform without closing the pool under other calls

Clearing the pool could fail a call that was about to take a connection from it, as a read of the other prefix at the moment at which a substitute begins; such a call would also have been reported as possibly run. A new pool takes its place instead.

--- a/packages/gooseberrymux/src/gooseberrymux/platform.py
+++ b/packages/gooseberrymux/src/gooseberrymux/platform.py
@@ -95,11 +95,7 @@
         self._era: int | None = None
         settings = kernel.settings.platform
         self._url = settings.url.rstrip("/")
-        self._http = urllib3.PoolManager(
-            maxsize=settings.calls_in_flight + WATCH_CONNECTIONS,
-            retries=False,
-            socket_options=SOCKET_OPTIONS,
-        )
+        self._http = self._create_pool()
         self._counts: dict[str, int] = {}
         self._in_flight = 0
         # Guards the call counts and the result of the last call; notified when a call
@@ -206,8 +202,20 @@
         return self._run(call).and_then(decode_changes)
 
     def drop_idle_connections(self) -> None:
-        """Closes the connections without a call; the next calls open new ones."""
-        self._http.clear()
+        """Makes further calls open new connections.
+
+        The present ones close with the calls that use them; idle ones close at once.
+        """
+        # Clearing the pool would fail a call that is just about to take a connection.
+        self._http = self._create_pool()
+
+    def _create_pool(self) -> urllib3.PoolManager:
+        settings = self._kernel.settings.platform
+        return urllib3.PoolManager(
+            maxsize=settings.calls_in_flight + WATCH_CONNECTIONS,
+            retries=False,
+            socket_options=SOCKET_OPTIONS,
+        )
 
     def _run(self, call: Call) -> Result[PlatformAnswer, PlatformError]:
         if not self._acquire_call_slot(call):
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 import pytest
 from result import Err, Ok
@@ -160,3 +161,63 @@
         "get.failed": 1,
         "watch.failed": 1,
     }
+
+
+class KeepAliveServer(ThreadingHTTPServer):
+    """Counts connections, and answers a watch once `released` is set."""
+
+    def __init__(self):
+        super().__init__(("127.0.0.1", 0), KeepAliveHandler)
+        self.connections = 0
+        self.asked = threading.Event()
+        self.released = threading.Event()
+
+    def get_request(self):
+        self.connections += 1
+        return super().get_request()
+
+
+class KeepAliveHandler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        if self.path.startswith("/watch"):
+            self.server.asked.set()
+            self.server.released.wait(5)
+            body = json.dumps({"revision": 4, "objects": []}).encode()
+        else:
+            body = json.dumps(OBJECT).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        pass
+
+
+def test_idle_connections_are_dropped_without_harm_to_a_call_under_way():
+    # Guards against a read on a connection that fell silent while it was idle, and
+    # against a watch that fails since another thread drops the idle connections.
+    server = KeepAliveServer()
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    platform = create_platform(f"http://127.0.0.1:{server.server_port}")
+    results = []
+    watch = threading.Thread(
+        target=lambda: results.append(
+            platform.watch(prefix="a", revision=3, wait_ms=1_000)
+        )
+    )
+    watch.start()
+    assert server.asked.wait(5)
+    assert platform.get("a/b").is_ok()
+    assert platform.get("a/b").is_ok()
+    assert server.connections == 2
+    platform.drop_idle_connections()
+    server.released.set()
+    watch.join()
+    assert results[0].is_ok()
+    assert platform.get("a/b").is_ok()
+    assert server.connections == 3
+    server.shutdown()
+    server.server_close()
