--- a/tests/machines/test_restored_store.py
+++ b/tests/machines/test_restored_store.py
@@ -5,10 +5,11 @@
 from test_entries import CONFIGURATION, SERVER
 
 from gooseberrymux.clock import Clock
-from gooseberrymux.inventory import Inventory
+from gooseberrymux.documents import Documents
+from gooseberrymux.inventory import INVENTORY_NAME, Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamState
-from gooseberrymux.routes import Routes
+from gooseberrymux.routes import ROUTES_DOCUMENT_NAME, Routes
 from gooseberryplatform.platform import StorePlatform
 from harness import FakeMembership, FakePeers, create_settings, wait_until
 from machines.fake_store import FakeStore
@@ -19,11 +20,12 @@
 class Instance:
     """The services of one instance that follow the store, with a store of its own."""
 
-    def __init__(self, store=None):
+    def __init__(self, store=None, known=()):
         self.store = store or FakeStore()
-        for name in SERVER_NAMES:
-            self.write_server(name)
-        self.write_configuration(7)
+        if store is None:
+            for name in SERVER_NAMES:
+                self.write_server(name)
+            self.write_configuration(7)
         settings = create_settings(
             platform={
                 "url": f"http://127.0.0.1:{self.store.port}",
@@ -38,6 +40,10 @@
         self.kernel.load(("inventory", "routes"))
         self.inventory = self.kernel.find("inventory", Inventory)
         self.routes = self.kernel.find("routes", Routes)
+        for document in known:
+            self.kernel.find("documents", Documents).apply_if_newer(
+                document, source="peer"
+            )
         for name in ("timers", "documents"):
             self.kernel._services[name].start()
 
@@ -69,8 +75,8 @@
 
 
 @contextlib.contextmanager
-def open_instance(store=None):
-    instance = Instance(store)
+def open_instance(**fields):
+    instance = Instance(**fields)
     try:
         yield instance
     finally:
@@ -112,3 +118,26 @@
         instance.write_configuration(9)
         instance.write_configuration(11)
         instance.wait_for_generation(11)
+
+
+# Guards against changes that a new reader misses, as it takes over at the moment of the
+# restore and knows what is in force from its peers only.
+def test_a_reader_that_begins_after_a_restore_goes_on_from_what_its_peers_had():
+    with open_instance() as former:
+        former.wait_for_generation(7)
+        copy = former.store.take_copy()
+        former.write_configuration(9)
+        for slots in range(3, 20):
+            former.write_server("i-3", slots=slots)
+        former.wait_for_generation(9)
+        former.wait_for_state("i-1", UpstreamState.LIVE)
+        documents = former.kernel.find("documents", Documents)
+        known = [documents.get(INVENTORY_NAME), documents.get(ROUTES_DOCUMENT_NAME)]
+        former.store.restore(copy)
+        with open_instance(store=former.store, known=known) as successor:
+            assert successor.routes.get_current().generation == 9
+            former.write_server("i-1", state="draining")
+            successor.wait_for_state("i-1", UpstreamState.LEAVING)
+            assert successor.routes.get_current().generation == 9
+            former.write_configuration(11)
+            successor.wait_for_generation(11)
