Fill the store of the tests of odd entries again

The test of a reader that takes over after a restore stopped filling a store that is given to an instance. Only an instance that knows documents from its peers leaves the store as it is now.

--- a/tests/machines/test_restored_store.py
+++ b/tests/machines/test_restored_store.py
@@ -22,7 +22,7 @@
 
     def __init__(self, store=None, known=()):
         self.store = store or FakeStore()
-        if store is None:
+        if not known:
             for name in SERVER_NAMES:
                 self.write_server(name)
             self.write_configuration(7)
