--- a/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
@@ -38,6 +38,7 @@
         top: Records wanted of all parts together, the greatest ones; 0 if parts are
             not merged.
         sent_ms: The entry's `Clock.boot_ms` when the call was created; 0 if unknown.
+        workspace: Name of the caller's workspace; empty without one.
     """
 
     id: str
@@ -57,6 +58,7 @@
     body: bytes = b""
     top: int = 0
     sent_ms: float = 0.0
+    workspace: str = ""
 
 
 @_message
--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -27,8 +27,14 @@
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.parts import Parts
 from gooseberrymux.pool import REASON_LEAVING
-from gooseberrymux.records import Refusal, RunState
-from gooseberrymux.routes import FanoutTarget, HttpRoute, SingleTarget, SplitTarget
+from gooseberrymux.records import Rank, Refusal, RunState
+from gooseberrymux.routes import (
+    FanoutTarget,
+    HttpRoute,
+    SingleTarget,
+    SplitTarget,
+    Workspace,
+)
 from gooseberrymux.splits import WeightedRoundRobin
 
 # Usual time to merge and write an answer. It is scaled up on a machine of less than one
@@ -60,6 +66,8 @@
         target_at_ms: After this time an answer misses the route's latency target; may
             be in the past if the caller waited for earlier attempts.
         deadline_ms: When the request has to be answered.
+        rank: Rank of the request; the workspace's goes before the route's.
+        workspace: The caller's workspace, or None without one.
     """
 
     request_id: str
@@ -69,6 +77,8 @@
     arrived_ms: float
     target_at_ms: float
     deadline_ms: float
+    rank: Rank
+    workspace: Workspace | None = None
 
 
 @_frozen
@@ -259,7 +269,7 @@
             request_id=request.request_id,
             route=route.name,
             services=list(budgets),
-            rank=route.rank,
+            rank=request.rank,
             repeatable=route.repeatable,
             attempts=route.attempts,
             dispatched_before=any(budget.may_have_run for budget in budgets.values()),
@@ -270,6 +280,7 @@
             headers=http.headers,
             body=http.body,
             top=get_record_limit(route),
+            workspace=request.workspace.name if request.workspace else "",
         )
         return self._parts.send(template, inbox, budgets)
 
@@ -383,7 +394,7 @@
             request_id=request.request_id,
             route=request.route.name,
             generation=request.generation,
-            rank=request.route.rank.value,
+            rank=request.rank.value,
             outcome=outcome,
             elapsed_ms=round(elapsed_ms, 1),
             target_left_ms=round(request.target_at_ms - request.arrived_ms),
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -207,7 +207,7 @@
                 return self._create_refusal_reply(refusal)
             case Ok(forward):
                 pass
-        rank = forward.route.rank
+        rank = forward.rank
         if refusal := self._own_delay.assess(rank, forward.deadline_ms - started_ms):
             self._record_refusal(received, refusal)
             return self._create_refusal_reply(refusal)
@@ -284,6 +284,7 @@
             + route.latency_target_ms
             - compute_earlier_wait_ms(route, effective_timeout_ms),
             deadline_ms=now_ms + effective_timeout_ms,
+            rank=route.rank,
         )
 
     def _create_caller_reply(
--- a/packages/gooseberrymux/src/gooseberrymux/routes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/routes.py
@@ -24,6 +24,7 @@
 _frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 Count = Annotated[int, Meta(ge=1)]
 Share = Annotated[float, Meta(ge=0, le=1)]
+NonNegative = Annotated[float, Meta(ge=0)]
 
 
 class RouteTarget:
@@ -84,6 +85,8 @@
         attempts: Greatest number of upstreams of one service that may run a request.
         timeout_ms: Longest time until a request is answered, in milliseconds.
         latency_target_ms: Time within which a reply is on time, in milliseconds.
+        anonymous: Whether requests need no API key, also where workspaces are
+            configured.
     """
 
     name: str
@@ -95,6 +98,27 @@
     attempts: Count
     timeout_ms: Count
     latency_target_ms: Annotated[float, Meta(gt=0)]
+    anonymous: bool = False
+
+
+@_frozen
+class Workspace:
+    """Callers that share API keys, a rank and a quota.
+
+    Attributes:
+        name: Unique name; upstreams get it with each request.
+        key_digests: Digests of the API keys in force; see `api_keys.hash_key`.
+        rank: Rank of its requests in place of the route's; None keeps the route's.
+        rate_per_s: Requests a second that all instances together let through; 0 for
+            no limit.
+        burst: Requests that it may send at once after a pause.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    rank: Rank | None = None
+    rate_per_s: NonNegative = 0.0
+    burst: NonNegative = 0.0
 
 
 @_frozen
@@ -124,23 +148,37 @@
         connections: Connections that each upstream of a service accepts from all
             instances together, by service.
         limits: Limits on the requests and connections of callers.
+        workspaces: All workspaces; without any, requests need no API key.
+        cold_rates_per_s: Requests a second that a cold upstream of a service takes from
+            all instances together, by service; services without a limit are left out.
     """
 
     generation: int
     routes: tuple[HttpRoute, ...] = ()
     connections: dict[str, Count] = dataclasses.field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    workspaces: tuple[Workspace, ...] = ()
+    cold_rates_per_s: dict[str, NonNegative] = dataclasses.field(default_factory=dict)
 
 
 class HttpRouteTable:
     """Looks up the routes of one generation by host and path."""
 
-    __slots__ = ("generation", "limits", "connections", "_routes_by_host")
+    __slots__ = (
+        "generation",
+        "limits",
+        "connections",
+        "workspaces",
+        "cold_rates_per_s",
+        "_routes_by_host",
+    )
 
     def __init__(self, *, document: RoutesDocument):
         self.generation = document.generation
         self.limits = document.limits
         self.connections = document.connections
+        self.workspaces = document.workspaces
+        self.cold_rates_per_s = document.cold_rates_per_s
         self._routes_by_host: dict[str, list[HttpRoute]] = {}
         for route in document.routes:
             self._routes_by_host.setdefault(route.host.lower(), []).append(route)
