--- a/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
+++ b/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
@@ -26,6 +26,10 @@
 CHUNK_OVERHEAD_LIMIT_BYTES = 32 * 1024
 FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 NO_BODY_STATUSES = frozenset({204, 304})
+# RFC 9110, 15: a status code outside 100 to 599 is invalid.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 
 
 class ReplyError(Exception):
@@ -49,7 +53,7 @@
     """A complete reply.
 
     Attributes:
-        status: HTTP status code, at least 200.
+        status: HTTP status code, 200 to 599.
         headers: All headers in the order received, names in lower case.
         body: The body, without transfer coding.
         closes_connection: Whether the connection can't carry another reply.
@@ -196,13 +200,15 @@
     def on_headers_complete(self) -> None:
         """Called by the parser at the end of a head."""
         status = self._parser.get_status_code()
-        if self.reply is not None or status < 200:
+        if self.reply is not None or status < MIN_FINAL_STATUS:
             return
         self._is_head_complete = True
         coding = self._framing.get("transfer-encoding")
         has_body = status not in NO_BODY_STATUSES and self._method != "HEAD"
         if not self._parser.get_http_version().startswith("1."):
             self._problem = "not HTTP/1"
+        elif status > MAX_STATUS:
+            self._problem = "malformed status"
         elif coding not in (None, "chunked"):
             self._problem = f"unknown transfer coding {coding!r}"
         elif has_body and self._get_content_length() > REPLY_LIMIT_BYTES:
@@ -229,7 +235,7 @@
         self._interim_replies += 1
         self._headers.clear()
         self._framing.clear()
-        if self._parser.get_status_code() < 100:
+        if self._parser.get_status_code() < MIN_STATUS:
             self._problem = "malformed status"
         elif self._interim_replies > INTERIM_REPLY_LIMIT:
             self._problem = "too many interim replies"
--- a/tests/test_faulty_replies.py
+++ b/tests/test_faulty_replies.py
@@ -284,7 +284,10 @@
     "data",
     [
         b"HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
         b"HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 999 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 5000000\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nX: a\r\n folded\r\nContent-Length: 0\r\n\r\n",
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -110,6 +110,27 @@
     assert int(request.headers["x-deadline-ms"]) <= 300
 
 
+@pytest.mark.parametrize("status", ["000", "099", "600", "999"])
+@pytest.mark.parametrize("target", [{"service": "s"}, FANOUT])
+def test_a_reply_whose_status_is_no_http_status_reaches_no_caller(env, target, status):
+    """Guards against a failing upstream whose broken reply a caller takes for its own.
+
+    The same holds for a part of a fan-out, of which the other part is enough here.
+    """
+    env.publish_routes(create_route(target=target))
+    env.publish_upstreams(
+        s=lambda request: request.reply(status, b"a" * 16),
+        t=lambda request: request.reply(200, b"b" * 16, proof="pt"),
+    )
+    answered, headers, body = env.open_caller().get()
+    if target is FANOUT:
+        assert (answered, body) == (200, b"b" * 16)
+        assert headers["x-parts-missing"] == "1"
+    else:
+        assert answered == 502
+        assert "x-reply-proof" not in headers
+
+
 def test_a_fan_out_is_answered_with_the_greatest_records_and_all_proofs(env):
     env.publish_routes(create_route(target=FANOUT))
     env.publish_upstreams(
