--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -47,6 +47,7 @@
 REASON_PHRASES = {
     200: "OK",
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     408: "Request Timeout",
     413: "Content Too Large",
--- a/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
@@ -88,21 +88,26 @@
 def encode_head(call: ForwardCall, names: HeaderNames) -> bytes:
     """Returns the encoded request line and headers that are the same for all sends.
 
-    The caller's own values of headers that this instance sets are left out.
+    The caller's own values of headers that this instance sets are left out, and so is
+    the API key of a caller with a workspace.
     """
-    replaced_names = frozenset(
-        {
-            names.deadline_ms.lower(),
-            names.target.lower(),
-            names.request_id.lower(),
-            "content-length",
-        }
-    )
+    replaced_names = {
+        names.deadline_ms.lower(),
+        names.target.lower(),
+        names.request_id.lower(),
+        "content-length",
+    }
+    if call.workspace:
+        replaced_names |= {names.api_key.lower(), names.workspace.lower()}
     lines = [f"{call.method} {call.target} HTTP/1.1"]
     lines += [
         f"{name}: {value}" for name, value in call.headers if name not in replaced_names
     ]
     lines.append(f"{names.request_id}: {call.request_id}")
+    if call.workspace:
+        # The head is encoded as Latin-1, which keeps each of these bytes.
+        workspace = call.workspace.encode("utf-8").decode("latin-1")
+        lines.append(f"{names.workspace}: {workspace}")
     return ("\r\n".join(lines) + "\r\n").encode("latin-1")
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -1,5 +1,6 @@
 """Entry point for callers: routes requests, writes replies and reports readiness."""
 
+import dataclasses
 import secrets
 import threading
 
@@ -7,6 +8,7 @@
 
 from gooseberrymux import caller_server, journal, metrics, web
 from gooseberrymux.admission import Admission
+from gooseberrymux.api_keys import CODE_UNKNOWN_KEY, ApiKeys
 from gooseberrymux.caller_server import (
     CallerDisconnected,
     CallerReply,
@@ -26,12 +28,18 @@
     RoutedRequest,
 )
 from gooseberrymux.forwarding import Result as ForwardResult
-from gooseberrymux.http_types import HttpReply
+from gooseberrymux.http_types import HttpReply, HttpRequest, remove_headers
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.own_delay import OwnDelay
 from gooseberrymux.records import Rank, Refusal, RunState
-from gooseberrymux.routes import CallerLimits, HttpRoute, HttpRouteTable, Routes
+from gooseberrymux.routes import (
+    CallerLimits,
+    HttpRoute,
+    HttpRouteTable,
+    Routes,
+    Workspace,
+)
 
 HEALTH_THREADS = 2
 # Random bytes in the id of a request whose caller sends none.
@@ -46,6 +54,7 @@
 # this plus NOT_READY_RETRY_MS counts as new: it was refused early and told to retry.
 EARLY_RETRY_LATENCY_TARGETS = 0.25
 STATUS_BY_REFUSAL_CODE = {
+    CODE_UNKNOWN_KEY: 401,
     "no_route": 404,
     "malformed_request": 400,
     "deadline": 504,
@@ -251,24 +260,49 @@
                 return Err(refusal)
             case Ok(caller_timeout_ms):
                 pass
-        resolved = table.resolve(
-            host=request.get_header("host") or "", path=request.target
-        )
-        return resolved.map(
-            lambda route: self._create_forward(
-                received, table, route, caller_timeout_ms, now_ms
+        match table.resolve(host=request.get_header("host") or "", path=request.target):
+            case Err(refusal):
+                return Err(refusal)
+            case Ok(route):
+                pass
+        workspace = None
+        if table.api_keys is not None:
+            match self._find_workspace(request, table.api_keys, route):
+                case Err(refusal):
+                    return Err(refusal)
+                case Ok(workspace):
+                    request = self._remove_key(request)
+        return Ok(
+            self._create_forward(
+                request,
+                table=table,
+                route=route,
+                workspace=workspace,
+                caller_timeout_ms=caller_timeout_ms,
+                now_ms=now_ms,
             )
         )
 
+    def _find_workspace(
+        self, request: HttpRequest, api_keys: ApiKeys[Workspace], route: HttpRoute
+    ) -> Result[Workspace | None, Refusal]:
+        """Returns the caller's workspace, None if none is needed, or the refusal."""
+        if route.anonymous:
+            return Ok(None)
+        return api_keys.find_workspace(
+            request.headers, name=self._header_names.api_key.lower()
+        )
+
     def _create_forward(
         self,
-        received: ReceivedRequest,
+        request: HttpRequest,
+        *,
         table: HttpRouteTable,
         route: HttpRoute,
+        workspace: Workspace | None,
         caller_timeout_ms: float | None,
         now_ms: float,
     ) -> RoutedRequest:
-        request = received.request
         effective_timeout_ms = min(
             route.timeout_ms,
             route.timeout_ms if caller_timeout_ms is None else caller_timeout_ms,
@@ -276,7 +310,7 @@
         return RoutedRequest(
             request_id=request.get_header(self._header_names.request_id.lower())
             or secrets.token_hex(REQUEST_ID_BYTES),
-            http=received.request,
+            http=request,
             route=route,
             generation=table.generation,
             arrived_ms=now_ms,
@@ -284,8 +318,17 @@
             + route.latency_target_ms
             - compute_earlier_wait_ms(route, effective_timeout_ms),
             deadline_ms=now_ms + effective_timeout_ms,
-            rank=route.rank,
+            rank=workspace.rank if workspace and workspace.rank else route.rank,
+            workspace=workspace,
+        )
+
+    def _remove_key(self, request: HttpRequest) -> HttpRequest:
+        """Returns a request without its API key and the workspace that it claims."""
+        names = self._header_names
+        headers = remove_headers(
+            request.headers, (names.api_key.lower(), names.workspace.lower())
         )
+        return dataclasses.replace(request, headers=headers)
 
     def _create_caller_reply(
         self, result: ForwardResult
--- a/packages/gooseberrymux/src/gooseberrymux/http_types.py
+++ b/packages/gooseberrymux/src/gooseberrymux/http_types.py
@@ -1,6 +1,7 @@
 """Core types of forwarded HTTP: request, reply and selection of headers."""
 
 import dataclasses
+from collections.abc import Collection
 
 _frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 
@@ -78,6 +79,11 @@
     return None
 
 
+def remove_headers(headers: Headers, names: Collection[str]) -> Headers:
+    """Returns the headers without those that are named, in lower case."""
+    return tuple((name, value) for name, value in headers if name not in names)
+
+
 def select_end_to_end_headers(headers: Headers) -> Headers:
     """Returns the headers without those that concern one connection only.
 
--- a/packages/gooseberrymux/src/gooseberrymux/routes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/routes.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from gooseberrymux import journal
+from gooseberrymux.api_keys import ApiKeys, find_shared_keys
 from gooseberrymux.conversion import ConversionProblem, convert
 from gooseberrymux.documents import DocumentChanged, Documents
 from gooseberrymux.kernel import Kernel, service
@@ -162,13 +163,18 @@
 
 
 class HttpRouteTable:
-    """Looks up the routes of one generation by host and path."""
+    """Looks up the routes of one generation by host and path.
+
+    Attributes:
+        api_keys: Finds the workspace of a request; None if there are no workspaces.
+    """
 
     __slots__ = (
         "generation",
         "limits",
         "connections",
         "workspaces",
+        "api_keys",
         "cold_rates_per_s",
         "_routes_by_host",
     )
@@ -178,6 +184,9 @@
         self.limits = document.limits
         self.connections = document.connections
         self.workspaces = document.workspaces
+        self.api_keys: ApiKeys[Workspace] | None = None
+        if document.workspaces:
+            self.api_keys = ApiKeys(workspaces=document.workspaces)
         self.cold_rates_per_s = document.cold_rates_per_s
         self._routes_by_host: dict[str, list[HttpRoute]] = {}
         for route in document.routes:
@@ -261,7 +270,15 @@
             generation=table.generation,
             before=previous.generation if previous else None,
             routes=table.count_routes(),
+            workspaces=len(table.workspaces),
         )
+        for owner, other in find_shared_keys(table.workspaces):
+            journal.record_event(
+                "routes.key_shared",
+                generation=table.generation,
+                workspace=owner,
+                ignored_for=other,
+            )
 
 
 def decode_routes(body: dict) -> Result[RoutesDocument, list[ConversionProblem]]:
@@ -306,6 +323,21 @@
                 return f"route {route.name!r}: a service is named twice"
             case FanoutTarget() if not route.repeatable:
                 return f"route {route.name!r}: a fan-out must be repeatable"
+    return check_workspaces(document.workspaces)
+
+
+def check_workspaces(workspaces: tuple[Workspace, ...]) -> str | None:
+    """Returns the first problem of the workspaces' names, or None.
+
+    Names are header values and label values, and quotas are counted by name.
+    """
+    names = set()
+    for workspace in workspaces:
+        if not (workspace.name.strip() and workspace.name.isprintable()):
+            return f"workspace {workspace.name!r}: the name must be printable"
+        if workspace.name in names:
+            return f"workspace {workspace.name!r}: the name is used twice"
+        names.add(workspace.name)
     return None
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -190,6 +190,8 @@
         leaving: `1` or `true` if the upstream leaves and wants no new requests.
         part_proofs: Proofs of the replies that were merged into an answer.
         missing_parts: Number of shards that a merged answer leaves out.
+        api_key: API key of a caller's workspace; never forwarded.
+        workspace: Name of the caller's workspace; set on requests to upstreams.
     """
 
     request_id: Name = "X-Request-Id"
@@ -202,6 +204,8 @@
     leaving: Name = "X-Draining"
     part_proofs: Name = "X-Part-Proofs"
     missing_parts: Name = "X-Parts-Missing"
+    api_key: Name = "X-Api-Key"
+    workspace: Name = "X-Workspace"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/machines/test_deploy.py
+++ b/tests/machines/test_deploy.py
@@ -55,6 +55,8 @@
     assert settings.platform.url == "http://10.200.1.7:8102"
     assert settings.forwarding.extra_window_s == 10
     assert settings.platform.staleness_bound_ms == 3_000
+    assert settings.gateway.headers.api_key == "X-Key"
+    assert settings.gateway.headers.workspace == "X-Tenant-Id"
     assert settings.settle_ms < settings.drain_timeout_ms < 6_000
 
 
