--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -250,15 +250,18 @@
         wait_ms = self._estimate_wait_ms(request, now_ms)
         if now_ms + wait_ms + request.latency.median_ms > request.deadline_ms:
             return REASON_DEADLINE
-        if not self._queue.enqueue(request.call.rank, request):
+        rank, flow = request.call.rank, request.call.workspace
+        if (displaced := self._queue.make_room(rank, flow)) is not None:
+            self._fail_request(displaced, REASON_QUEUE_FULL)
+        if not self._queue.enqueue(rank, request, flow):
             return REASON_QUEUE_FULL
         return None
 
     def _estimate_wait_ms(self, request: PendingRequest, now_ms: float) -> float:
         prefer = prefer_on_time(now_ms) if request.can_be_on_time(now_ms) else None
-        ahead = self._queue.estimate_dispatches_ahead(request.call.rank, prefer) + len(
-            self._resend_queue
-        )
+        ahead = self._queue.estimate_dispatches_ahead(
+            request.call.rank, prefer, request.call.workspace
+        ) + len(self._resend_queue)
         return ahead * request.latency.median_ms / self._capacity.count_parallel(now_ms)
 
     def _dispatch(self, now_ms: float) -> None:
@@ -274,8 +277,8 @@
             if replica is None:
                 # No upstream is free, or the free ones are stalled or too slow to use.
                 break
-            # Requests that can still be on time go first within their rank. Late ones
-            # in front would make all behind them late while the backlog lasts.
+            # Requests that can still be on time go first within their workspace. Late
+            # ones in front would make all behind them late while the backlog lasts.
             request = self._queue.dequeue(prefer_on_time(now_ms))
             if now_ms >= request.deadline_ms:
                 self._fail_request(request, REASON_DEADLINE)
--- a/packages/gooseberrymux/src/gooseberrymux/schedule.py
+++ b/packages/gooseberrymux/src/gooseberrymux/schedule.py
@@ -1,9 +1,9 @@
 """Scheduling between ranks: which queued item is dispatched next."""
 
-import collections
 import dataclasses
 from collections.abc import Callable
 
+from gooseberrymux.fair_queue import FairQueue
 from gooseberrymux.records import Rank
 from gooseberrymux.settings import Settings
 
@@ -58,6 +58,8 @@
 class RankQueue:
     """A bounded queue for each rank, served in the order of a scheduling policy.
 
+    Within a rank, flows share the dispatches fairly; see `fair_queue`.
+
     Not thread-safe: the owner of the queue holds its own lock around each call.
     """
 
@@ -65,6 +67,8 @@
         "_policy",
         "_limits",
         "_queues",
+        "_lengths",
+        "_length",
         "_credits",
         "_virtual_finish",
         "_virtual_time",
@@ -73,9 +77,9 @@
     def __init__(self, *, policy: SchedulingPolicy, limits: dict[Rank, int]):
         self._policy = policy
         self._limits = limits
-        self._queues: dict[Rank, collections.deque] = {
-            rank: collections.deque() for rank in RANKS
-        }
+        self._queues = {rank: FairQueue() for rank in RANKS}
+        self._lengths: dict[Rank, int] = dict.fromkeys(RANKS, 0)
+        self._length = 0
         # For `StrictWithFloors`: number of dispatches that each rank is owed.
         self._credits: dict[Rank, float] = dict.fromkeys(RANKS, 0.0)
         # For `Weighted`: the virtual time at which each rank's last dispatch ends (a
@@ -85,54 +89,65 @@
         self._virtual_time = 0.0
 
     def __len__(self) -> int:
-        return sum(map(len, self._queues.values()))
+        return self._length
 
-    def enqueue(self, rank: Rank, item: object) -> bool:
+    def enqueue(self, rank: Rank, item: object, flow: str = "") -> bool:
         """Appends an item to its rank's queue; returns False if that queue is full."""
-        queue = self._queues[rank]
-        if len(queue) >= self._limits[rank]:
+        if self._lengths[rank] >= self._limits[rank]:
             return False
-        if not queue:
+        if not self._lengths[rank]:
             # A rank keeps no claim to dispatches that it did not use while idle.
             self._credits[rank] = 0.0
             self._virtual_finish[rank] = max(
                 self._virtual_finish[rank], self._virtual_time
             )
-        queue.append(item)
+        self._queues[rank].append(item, flow)
+        self._change_length(rank, 1)
         return True
 
+    def make_room(self, rank: Rank, flow: str) -> object | None:
+        """Makes room for an item of a flow in a full queue.
+
+        Removes and returns the newest item of the flow that has the most items there.
+        Returns None and removes nothing if the queue is not full, or if the new item
+        itself would be that newest one.
+        """
+        if not 0 < self._limits[rank] <= self._lengths[rank]:
+            return None
+        item = self._queues[rank].pop_newest_of_longest(flow)
+        self._change_length(rank, 0 if item is None else -1)
+        return item
+
     def dequeue(
         self, is_preferred: Callable[[object], bool] | None = None
     ) -> object | None:
         """Removes and returns the next item, or None if all queues are empty.
 
         Args:
-            is_preferred: Items of the chosen rank for which this returns True go before
-                its other items.
+            is_preferred: Items of the chosen rank and flow for which this returns True
+                go before the other items of the flow.
         """
-        waiting = [rank for rank in RANKS if self._queues[rank]]
+        waiting = [rank for rank in RANKS if self._lengths[rank]]
         if not waiting:
             return None
-        queue = self._queues[self._choose_rank(waiting)]
-        if is_preferred is not None:
-            for position, item in enumerate(queue):
-                if is_preferred(item):
-                    del queue[position]
-                    return item
-        return queue.popleft()
+        rank = self._choose_rank(waiting)
+        self._change_length(rank, -1)
+        return self._queues[rank].pop(is_preferred)
 
     def remove(self, predicate: Callable[[object], bool]) -> list:
         """Removes and returns all items for which `predicate` holds."""
         removed = []
         for rank, queue in self._queues.items():
-            kept: collections.deque = collections.deque()
-            for item in queue:
-                (removed if predicate(item) else kept).append(item)
-            self._queues[rank] = kept
+            found = queue.remove(predicate)
+            self._change_length(rank, -len(found))
+            removed += found
         return removed
 
     def estimate_dispatches_ahead(
-        self, rank: Rank, is_preferred: Callable[[object], bool] | None = None
+        self,
+        rank: Rank,
+        is_preferred: Callable[[object], bool] | None = None,
+        flow: str = "",
     ) -> float:
         """Estimates how many dispatches go before a new item of `rank`.
 
@@ -142,12 +157,12 @@
         Args:
             rank: Rank of the new item.
             is_preferred: As for `dequeue`. The new item counts as preferred, so only
-                the preferred items of its own rank go before it.
+                the preferred items of its own flow go before it.
+            flow: Flow of the new item; of the other flows of its rank, only their fair
+                share goes before it.
         """
         lengths = self.count_by_rank()
-        if is_preferred is not None:
-            lengths[rank] = sum(map(is_preferred, self._queues[rank]))
-        own = lengths[rank]
+        own = lengths[rank] = self._queues[rank].count_ahead(flow, is_preferred)
         above, below = split_ranks(rank)
         match self._policy:
             case Strict():
@@ -173,7 +188,11 @@
 
     def count_by_rank(self) -> dict[Rank, int]:
         """Returns the number of queued items of each rank."""
-        return {rank: len(queue) for rank, queue in self._queues.items()}
+        return dict(self._lengths)
+
+    def _change_length(self, rank: Rank, change: int) -> None:
+        self._lengths[rank] += change
+        self._length += change
 
     def _choose_rank(self, waiting: list[Rank]) -> Rank:
         match self._policy:
