--- a/packages/gooseberryctl/src/gooseberryctl/views.py
+++ b/packages/gooseberryctl/src/gooseberryctl/views.py
@@ -57,13 +57,21 @@
 def render_status(status: dict) -> str:
     """Returns the instances as a table, and the names of those that did not answer."""
     table = render_table(
-        ("INSTANCE", "STATE", "GENERATION", "PROOF AGE", "INCARNATION"),
+        (
+            "INSTANCE",
+            "STATE",
+            "GENERATION",
+            "PROOF AGE",
+            "WORKSPACES",
+            "INCARNATION",
+        ),
         [
             (
                 instance["name"],
                 instance.get("state", "?"),
                 instance.get("generation", "?"),
                 render_age(instance.get("proof_age_ms")),
+                render_workspace_count(instance),
                 instance.get("incarnation", "?"),
             )
             for instance in status.get("instances", [])
@@ -78,6 +86,15 @@
     return "?" if age_ms is None else f"{age_ms / MS_PER_S:.1f} s"
 
 
+def render_workspace_count(instance: dict) -> str:
+    """Returns the number of workspaces in force; `-` without a service `routes`."""
+    match instance:
+        case {"services": {"routes": {"workspaces": int(count)}}}:
+            return str(count)
+        case _:
+            return "-"
+
+
 def render_upstreams(body: dict) -> str:
     """Returns the upstreams of a `/v1/upstreams` reply as a table."""
     return render_table(
--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -389,6 +389,8 @@
         self, request: RoutedRequest, outcome: str, **fields: object
     ) -> None:
         elapsed_ms = self._kernel.clock.now_ms() - request.arrived_ms
+        if request.workspace:
+            fields["workspace"] = request.workspace.name
         journal.record_event(
             "forwarding.ended",
             request_id=request.request_id,
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -6,7 +6,13 @@
 
 from result import Err, Ok, Result
 
-from gooseberrymux import caller_server, journal, metrics, web
+from gooseberrymux import (
+    caller_server,
+    journal,
+    metrics,
+    web,
+    workspace_requests,
+)
 from gooseberrymux.admission import Admission
 from gooseberrymux.api_keys import CODE_UNKNOWN_KEY, ApiKeys
 from gooseberrymux.caller_server import (
@@ -218,13 +224,14 @@
                 pass
         rank = forward.rank
         if refusal := self._own_delay.assess(rank, forward.deadline_ms - started_ms):
-            self._record_refusal(received, refusal)
+            self._record_refusal(received, refusal, forward.workspace)
             return self._create_refusal_reply(refusal)
         with self._admission.admit(rank) as refused:
             if refused:
-                self._record_refusal(received, refused)
+                self._record_refusal(received, refused, forward.workspace)
                 return self._create_refusal_reply(refused)
             result = self._run_forward(forward, received)
+        workspace_requests.count_result(forward.workspace, result)
         caller_reply = self._create_caller_reply(result)
         self._record_metrics(rank, caller_reply, started_ms)
         return caller_reply
@@ -363,7 +370,13 @@
         )
         return CallerReply(reply=reply, close=self._leaving)
 
-    def _record_refusal(self, received: ReceivedRequest, refusal: Refusal) -> None:
+    def _record_refusal(
+        self,
+        received: ReceivedRequest,
+        refusal: Refusal,
+        workspace: Workspace | None = None,
+    ) -> None:
+        workspace_requests.count_refusal(workspace, refusal)
         table = self._routes.get_current()
         journal.record_event(
             "gateway.refused",
@@ -377,6 +390,7 @@
             upstreams=len(self._inventory.list_upstreams()),
             code=refusal.code,
             reason=refusal.message,
+            **({"workspace": workspace.name} if workspace else {}),
         )
 
     def _record_metrics(
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -5,6 +5,9 @@
 
 from aioprometheus import REGISTRY, Counter, Gauge, Histogram, render
 
+# Label values for workspaces; each makes a few time series on each instance.
+MAX_WORKSPACE_LABELS = 200
+OTHER_LABEL = "other"
 LATENCY_BUCKETS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
 
 
@@ -69,6 +72,38 @@
             self._gauge.set({self._label: label}, value)
 
 
+class BoundedLabel:
+    """Label whose values come from configurations: bounds their number, escapes them.
+
+    Time series are kept until the end of the process, so values that are no longer in
+    use count too. Thread-safe.
+
+    Args:
+        max_values: Number of values that are kept apart; further ones are counted as
+            `OTHER_LABEL`.
+    """
+
+    __slots__ = ("_max_values", "_escaped_values", "_lock")
+
+    def __init__(self, *, max_values: int):
+        self._max_values = max_values
+        self._escaped_values: dict[str, str] = {}
+        self._lock = threading.Lock()
+
+    def limit(self, value: str) -> str:
+        """Returns the value as it is rendered, or `OTHER_LABEL` beside too many."""
+        escaped = self._escaped_values.get(value)
+        if escaped is not None:
+            return escaped
+        with self._lock:
+            if len(self._escaped_values) >= self._max_values:
+                return OTHER_LABEL
+            # The library writes values as they are; a quote would spoil the page.
+            escaped = value.replace("\\", "\\\\").replace('"', '\\"')
+            self._escaped_values[value] = escaped
+            return escaped
+
+
 requests_total = Counter(
     "gooseberrymux_requests_total", "Caller requests by kind, rank and outcome."
 )
@@ -130,6 +165,19 @@
     "Time to answer a forwarded request in milliseconds, by rank.",
     buckets=LATENCY_BUCKETS_MS,
 )
+key_refusals_total = Counter(
+    "gooseberrymux_key_refusals_total",
+    "Forwarded requests refused because they did not carry exactly one valid API key.",
+)
+workspace_label = BoundedLabel(max_values=MAX_WORKSPACE_LABELS)
+workspace_requests_total = BufferedCounter(
+    counter=Counter(
+        "gooseberrymux_workspace_requests_total",
+        "Forwarded requests of each workspace by outcome (answered, failed, refused, "
+        "left).",
+    ),
+    labels=("workspace", "outcome"),
+)
 call_delay_ms = Histogram(
     "gooseberrymux_call_delay_ms",
     "Time in milliseconds by which calls to this owner were delayed under way.",
@@ -159,5 +207,6 @@
         accept: The `Accept` header of the scrape; empty selects the default format.
     """
     sends_total.flush()
+    workspace_requests_total.flush()
     proof_age_ms.sample()
     return render(REGISTRY, [accept] if accept else [])
--- a/packages/gooseberrymux/src/gooseberrymux/routes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/routes.py
@@ -244,11 +244,12 @@
         """Does nothing: the service has no thread."""
 
     def describe(self) -> dict:
-        """Returns the generation in force and its number of routes, for the status."""
+        """Returns generation, number of routes and of workspaces, for the status."""
         current = self._current
         return {
             "generation": current.generation if current else None,
             "routes": current.count_routes() if current else 0,
+            "workspaces": len(current.workspaces) if current else 0,
         }
 
     def get_current(self) -> HttpRouteTable | None:
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -53,6 +53,12 @@
     assert b'gooseberrymux_sends_total{cause="first",outcome="Replied"}' in body
 
 
+def test_a_label_for_names_from_configurations_is_bounded():
+    # Guards against time series without end where workspaces come and go.
+    label = metrics.BoundedLabel(max_values=2)
+    assert [label.limit(name) for name in "abcab"] == ["a", "b", "other", "a", "b"]
+
+
 def test_a_sampled_gauge_has_the_values_of_the_time_of_the_scrape():
     # Guards against an age that stands still while nothing happens.
     gauge = Gauge("test_sampled_ms", "A gauge of a test.")
--- a/tests/test_routes.py
+++ b/tests/test_routes.py
@@ -121,4 +121,4 @@
         )
     routes = kernel.find("routes", Routes)
     assert routes.get_current().generation == 4
-    assert routes.describe() == {"generation": 4, "routes": 1}
+    assert routes.describe() == {"generation": 4, "routes": 1, "workspaces": 0}
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -1,17 +1,21 @@
 """Workspaces: the key check at the entry, and what owners and upstreams get."""
 
+import dataclasses
 import json
 
 import pytest
 
-from gooseberrymux import journal
-from gooseberrymux.api_keys import find_shared_keys, hash_key
+from gooseberryctl.views import render_status
+from gooseberrymux import journal, metrics
+from gooseberrymux.api_keys import create_key_refusal, find_shared_keys, hash_key
 from gooseberrymux.forward_exchange import encode_head
 from gooseberrymux.forward_messages import ForwardCall
+from gooseberrymux.forwarding import CallerLeft, Merged, Refused
 from gooseberrymux.parts import Parts
-from gooseberrymux.records import Rank
+from gooseberrymux.records import Rank, RunState
 from gooseberrymux.routes import Workspace, check_document
 from gooseberrymux.settings import HeaderNames
+from gooseberrymux.workspace_requests import classify_result
 from harness import publish, wait_until
 from http_scripted import create_route
 from test_gateway import GatewayEnvironment, echo
@@ -227,6 +231,51 @@
     assert KEY not in disclosed and OTHER_KEY not in disclosed
 
 
+def test_requests_are_counted_by_workspace_and_refused_keys_apart(env):
+    # Guards against a workspace whose refusals an operator can't see.
+    env.publish_workspaces(create_workspace('w "1"'))
+    refused_before = metrics.key_refusals_total.get({}) or 0
+    env.send_with_key()
+    env.send_with_key("unknown")
+    env.upstream.handler = lambda request: request.reply(503)
+    env.send_with_key()
+    pages = metrics.render_metrics("")[0].decode()
+    assert metrics.key_refusals_total.get({}) == refused_before + 1
+    for outcome in ("answered", "failed"):
+        labels = f'outcome="{outcome}",workspace="w \\"1\\""'
+        assert f"workspace_requests_total{{{labels}}} 1" in pages
+
+
+@pytest.mark.parametrize(
+    ("result", "outcome"),
+    [
+        (CallerLeft(), "left"),
+        (Refused(refusal=create_key_refusal("")), "refused"),
+        (
+            Refused(
+                refusal=dataclasses.replace(
+                    create_key_refusal(""), run_state=RunState.UNKNOWN
+                )
+            ),
+            "failed",
+        ),
+        (Merged(body=b"", proofs=[], missing=[]), "answered"),
+    ],
+)
+def test_only_what_has_not_run_counts_as_refused(result, outcome):
+    assert classify_result(result) == outcome
+
+
+@pytest.mark.parametrize(
+    ("services", "shown"),
+    [({"routes": {"generation": 1, "routes": 2, "workspaces": 79}}, "79"), ({}, "-")],
+)
+def test_the_status_shows_the_number_of_workspaces(services, shown):
+    # Guards against a status that fails beside an instance of an older release.
+    table = render_status({"instances": [{"name": "e", "services": services}]})
+    assert table.splitlines()[1].split() == ["e", "?", "?", "?", shown, "?"]
+
+
 def test_the_workspace_header_is_set_once_and_only_for_a_workspace():
     names = HeaderNames()
     fields = {
