--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -239,3 +239,25 @@
         outcomes = owner.wait_for_outcomes(6)
         assert sum(isinstance(outcome, PartReplied) for outcome in outcomes) == 5
     assert order == ["flood-0", "flood-1", "small", "flood-2", "flood-3"]
+
+
+def test_a_flood_is_no_reason_to_refuse_what_goes_before_it():
+    """Guards against an early refusal that counts the backlog of another workspace.
+
+    Load: a large workspace has 40 requests in the queue when a small one sends a
+    request that could not wait for all of them.
+    """
+    gate, _, handler = create_gated_upstream()
+    with open_owner() as owner:
+        owner.add_upstream("u1", handler)
+        for _ in range(41):
+            owner.submit(workspace="flood")
+        queued = len(owner.outcomes)
+        impatient = {"remaining_ms": 400.0, "target_ms": 300.0}
+        owner.submit(workspace="small", **impatient)
+        assert len(owner.outcomes) == queued
+        owner.submit(workspace="flood", **impatient)
+        (refused,) = owner.outcomes[queued:]
+        assert isinstance(refused, PartNotRun)
+        assert refused.reason == "deadline_unreachable"
+        gate.release(50)
