--- a/packages/gooseberryctl/src/gooseberryctl/changes.py
+++ b/packages/gooseberryctl/src/gooseberryctl/changes.py
@@ -128,7 +128,24 @@
         self, upstream: str, *, draining: bool, wait_ms: float | None
     ) -> None:
         """Starts or ends the drain of an upstream, and reports the outcome."""
-        reply = self.client.set_drain(upstream, draining=draining)
+        reply = self.client.set_exclusion("drains", upstream, starts=draining)
+        self.report_outcome(parse_outcome(reply), wait_ms=wait_ms)
+
+    def set_evacuation(
+        self,
+        domain: str,
+        *,
+        evacuated: bool,
+        wait_ms: float | None,
+        allow_unreachable: bool,
+    ) -> None:
+        """Starts or ends an evacuation, and reports the outcome."""
+        reply = self.client.set_exclusion(
+            "evacuations",
+            domain,
+            starts=evacuated,
+            allow_unreachable=allow_unreachable,
+        )
         self.report_outcome(parse_outcome(reply), wait_ms=wait_ms)
 
     def report_outcome(
--- a/packages/gooseberryctl/src/gooseberryctl/client.py
+++ b/packages/gooseberryctl/src/gooseberryctl/client.py
@@ -110,7 +110,7 @@
 
     Attributes:
         action: put or remove.
-        kind: group, selector or drain.
+        kind: group, selector, drain or evacuation.
         name: Name of the object.
         value: All fields of the object for put; empty for remove.
     """
@@ -220,16 +220,26 @@
             message=message, may_have_taken_effect=may_have_taken_effect and not dry_run
         )
 
-    def set_drain(self, upstream: str, *, draining: bool) -> Reply:
-        """Starts or ends the drain of an upstream; sends the request only once.
+    def set_exclusion(
+        self, section: str, name: str, *, starts: bool, allow_unreachable: bool = False
+    ) -> Reply:
+        """Starts or ends a drain or an evacuation; sends the request only once.
+
+        Args:
+            section: drains or evacuations.
+            name: The upstream or the failure domain.
+            starts: Whether it starts, and not ends.
+            allow_unreachable: Accepts that some traffic is left without an upstream.
 
         Raises:
             ClientError: No server answered.
         """
-        method = "POST" if draining else "DELETE"
-        body: dict | None = {} if draining else None
+        method = "POST" if starts else "DELETE"
+        body: dict | None = None
+        if starts:
+            body = {"allow_unreachable": True} if allow_unreachable else {}
         return self._send_request(
-            method, f"/v1/drains/{quote(upstream, safe='')}", body=body
+            method, f"/v1/{section}/{quote(name, safe='')}", body=body
         )
 
     def _send_request(
--- a/packages/gooseberryctl/src/gooseberryctl/files.py
+++ b/packages/gooseberryctl/src/gooseberryctl/files.py
@@ -9,8 +9,18 @@
 from gooseberryctl.client import Edit, Problem
 from gooseberrymux.errors import UserError
 
-SECTIONS = {"groups": "group", "selectors": "selector", "drains": "drain"}
-NAME_FIELDS = {"group": "name", "selector": "name", "drain": "upstream"}
+SECTIONS = {
+    "groups": "group",
+    "selectors": "selector",
+    "drains": "drain",
+    "evacuations": "evacuation",
+}
+NAME_FIELDS = {
+    "group": "name",
+    "selector": "name",
+    "drain": "upstream",
+    "evacuation": "domain",
+}
 
 
 class FileError(UserError):
@@ -22,8 +32,9 @@
     """One object of a configuration file, with its line numbers (from 1).
 
     Attributes:
-        kind: group, selector or drain.
-        name: Name of the object; for a drain, the upstream.
+        kind: group, selector, drain or evacuation.
+        name: Name of the object; for a drain, the upstream; for an evacuation, the
+            failure domain.
         value: Fields of the object.
         line: Line on which the object starts.
         field_lines: Line of each field of the object.
@@ -63,7 +74,7 @@
 
 
 def read_file(path: Path) -> ConfigurationFile:
-    """Reads a YAML file with the sections groups, selectors and drains.
+    """Reads a YAML file with the sections groups, selectors, drains, evacuations.
 
     Raises:
         FileError: The file can't be read, is not YAML, or has an unknown section or
@@ -80,7 +91,7 @@
         return ConfigurationFile(path=path, objects=())
     if not isinstance(root, yaml.MappingNode):
         raise create_file_error(
-            path, 1, "expected a mapping with groups, selectors and drains"
+            path, 1, f"expected a mapping with {', '.join(SECTIONS)}"
         )
     objects = []
     for key, section in root.value:
--- a/packages/gooseberryctl/src/gooseberryctl/main.py
+++ b/packages/gooseberryctl/src/gooseberryctl/main.py
@@ -331,6 +331,28 @@
     session.set_drain(upstream, draining=False, wait_ms=timeout_ms if wait else None)
 
 
+@app.command()
+def evacuate(
+    context: typer.Context,
+    domain: str,
+    *,
+    cancel: Annotated[
+        bool, typer.Option("--cancel", help="End the evacuation of the domain.")
+    ] = False,
+    wait: WaitOption = False,
+    timeout_ms: TimeoutOption = 15_000,
+    allow_unreachable: AllowUnreachableOption = False,
+) -> None:
+    """Sends no requests into a failure domain; those in flight finish."""
+    session: Session = context.obj
+    session.set_evacuation(
+        domain,
+        evacuated=not cancel,
+        wait_ms=timeout_ms if wait else None,
+        allow_unreachable=allow_unreachable,
+    )
+
+
 @app.command()
 def explain(
     context: typer.Context,
--- a/packages/gooseberryctl/src/gooseberryctl/views.py
+++ b/packages/gooseberryctl/src/gooseberryctl/views.py
@@ -55,7 +55,7 @@
 
 
 def render_status(status: dict) -> str:
-    """Returns the instances as a table, and the names of those that did not answer."""
+    """Returns the instances as a table, the evacuations and who did not answer."""
     table = render_table(
         ("INSTANCE", "STATE", "GENERATION", "PROOF AGE", "INCARNATION"),
         [
@@ -69,8 +69,13 @@
             for instance in status.get("instances", [])
         ],
     )
-    silent = status.get("silent", [])
-    return f"{table}\nno answer from: {', '.join(silent)}" if silent else table
+    lines = [table]
+    total = len(status.get("instances", []))
+    for domain, count in status.get("evacuations", {}).items():
+        lines.append(f"evacuated: {domain}, on {count} of {total} instances")
+    if silent := status.get("silent", []):
+        lines.append(f"no answer from: {', '.join(silent)}")
+    return "\n".join(lines)
 
 
 def render_age(age_ms: float | None) -> str:
@@ -87,7 +92,7 @@
                 upstream["name"],
                 upstream.get("service", "?"),
                 upstream.get("owner") or "-",
-                "draining" if upstream.get("draining") else upstream.get("state", "?"),
+                render_upstream_state(upstream),
                 upstream.get("slots", "?"),
                 render_queue_lengths(upstream.get("queue")),
             )
@@ -96,6 +101,13 @@
     )
 
 
+def render_upstream_state(upstream: dict) -> str:
+    """Returns why an upstream gets no new work, or its state in the list."""
+    if upstream.get("evacuated"):
+        return "evacuated"
+    return "draining" if upstream.get("draining") else upstream.get("state", "?")
+
+
 def render_queue_lengths(queue: dict | None) -> str:
     """Returns queue lengths in the order of `RANKS`; `-` if none were reported."""
     if not queue:
--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -10,6 +10,8 @@
 from gooseberrymux.configuration import ConfigurationService
 from gooseberrymux.configuration_changes import Change
 from gooseberrymux.configuration_codec import describe_configuration
+from gooseberrymux.configuration_model import Kind
+from gooseberrymux.evacuations import Evacuations
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import Membership
@@ -25,12 +27,20 @@
 # Shorter than the timeout of the operators' clients, so that a response arrives in time
 # and names the instances that have not replied.
 STATUS_TIMEOUT_MS = 1_500
-DRAINS_PATH = "/v1/drains/"
+# Paths of what excludes upstreams from work, with the kind of object that it sets.
+EXCLUSION_PATHS = {"/v1/drains/": Kind.DRAIN, "/v1/evacuations/": Kind.EVACUATION}
 
 
 @service(
     "admin",
-    requires=("configuration", "documents", "inventory", "membership", "status"),
+    requires=(
+        "configuration",
+        "documents",
+        "evacuations",
+        "inventory",
+        "membership",
+        "status",
+    ),
 )
 class Admin:
     """Serves the administration API, with one worker thread for each connection."""
@@ -38,6 +48,7 @@
     __slots__ = (
         "_kernel",
         "_configuration",
+        "_evacuations",
         "_inventory",
         "_membership",
         "_status",
@@ -47,6 +58,7 @@
     def __init__(self, *, kernel: Kernel):
         self._kernel = kernel
         self._configuration = kernel.find("configuration", ConfigurationService)
+        self._evacuations = kernel.find("evacuations", Evacuations)
         self._inventory = kernel.find("inventory", Inventory)
         self._membership = kernel.find("membership", Membership)
         self._status = kernel.find("status", Status)
@@ -103,8 +115,8 @@
                 return self._list_upstreams()
             case ("GET", "/v1/explain"):
                 return self._explain(request)
-            case ("POST" | "DELETE", path) if path.startswith(DRAINS_PATH):
-                return self._handle_drain(request, operator)
+            case ("POST" | "DELETE", path) if path.startswith(tuple(EXCLUSION_PATHS)):
+                return self._handle_exclusion(request, operator)
             case _:
                 return web.create_error(
                     status=404,
@@ -131,7 +143,7 @@
             case Ok(change):
                 return self._propose(change)
 
-    def _handle_drain(self, request: Request, operator: str) -> Response:
+    def _handle_exclusion(self, request: Request, operator: str) -> Response:
         decoded: dict = {}
         if request.environ.get("CONTENT_LENGTH") not in (None, "", "0"):
             match web.read_json(request, limit_bytes=BODY_LIMIT_BYTES):
@@ -139,10 +151,12 @@
                     return response
                 case Ok(decoded):
                     pass
-        change = admin_bodies.decode_drain(
+        prefix = next(p for p in EXCLUSION_PATHS if request.path.startswith(p))
+        change = admin_bodies.decode_exclusion(
             decoded,
-            upstream=request.path.removeprefix(DRAINS_PATH),
-            draining=request.method == "POST",
+            kind=EXCLUSION_PATHS[prefix],
+            name=request.path.removeprefix(prefix),
+            starts=request.method == "POST",
             operator=operator,
         )
         match change:
@@ -189,6 +203,7 @@
                     record=record,
                     owner=owner.name if owner else None,
                     draining=record.name in draining_names,
+                    evacuated=self._evacuations.is_evacuated(record.failure_domain),
                     fleet=fleet,
                 )
             )
@@ -198,7 +213,12 @@
 
 
 def describe_upstream(
-    *, record: UpstreamRecord, owner: str | None, draining: bool, fleet: FleetStatus
+    *,
+    record: UpstreamRecord,
+    owner: str | None,
+    draining: bool,
+    evacuated: bool,
+    fleet: FleetStatus,
 ) -> dict:
     """Returns an upstream as JSON; `queue` is None if its owner reported no status."""
     services = fleet.instances.get(owner or "", {}).get("services", {})
@@ -216,6 +236,7 @@
         "owner": owner,
         "state": record.state.value,
         "draining": draining,
+        "evacuated": evacuated,
         "slots": record.slots,
         "queue": queue,
     }
--- a/packages/gooseberrymux/src/gooseberrymux/admin_bodies.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin_bodies.py
@@ -1,5 +1,6 @@
 """Request and response bodies of the administration API."""
 
+import collections
 import dataclasses
 from collections.abc import Iterable
 from typing import Annotated, Literal
@@ -58,8 +59,11 @@
 
 
 @_body_dataclass
-class DrainBody:
-    """Body of a request that starts or ends a drain; every field is optional."""
+class ExclusionBody:
+    """Body of a request that starts or ends a drain or an evacuation.
+
+    Every field is optional.
+    """
 
     __pydantic_config__ = STRICT_CONFIG
 
@@ -71,7 +75,7 @@
 
 
 _change_body_adapter = pydantic.TypeAdapter(ChangeBody)
-_drain_body_adapter = pydantic.TypeAdapter(DrainBody)
+_exclusion_body_adapter = pydantic.TypeAdapter(ExclusionBody)
 
 
 def decode_change(decoded: dict, operator: str) -> Result[Change, Response]:
@@ -99,22 +103,22 @@
     return PutEdit(kind=edit.kind, name=edit.name, value=edit.value or {})
 
 
-def decode_drain(
-    decoded: dict, *, upstream: str, draining: bool, operator: str
+def decode_exclusion(
+    decoded: dict, *, kind: Kind, name: str, starts: bool, operator: str
 ) -> Result[Change, Response]:
-    """Returns the change that starts or ends a drain, or a 422 for a wrong body.
+    """Returns the change that starts or ends a drain or an evacuation, or a 422.
 
     A body without `change_id` gets a random one, so that each request is a new change.
     """
-    match validate_body(_drain_body_adapter, decoded):
+    match validate_body(_exclusion_body_adapter, decoded):
         case Err(response):
             return Err(response)
         case Ok(body):
             pass
-    edit: Edit = RemoveEdit(kind=Kind.DRAIN, name=upstream)
-    if draining:
+    edit: Edit = RemoveEdit(kind=kind, name=name)
+    if starts:
         value = {"reason": body.reason}
-        edit = PutEdit(kind=Kind.DRAIN, name=upstream, value=value)
+        edit = PutEdit(kind=kind, name=name, value=value)
     return Ok(
         Change(
             change_id=body.change_id or str(uuid6.uuid7()),
@@ -239,11 +243,22 @@
 def describe_fleet(fleet: FleetStatus) -> dict:
     """Returns the fleet's status as JSON, with the instances sorted by name."""
     return {
+        "evacuations": count_evacuations(fleet),
         "instances": [fleet.instances[name] for name in sorted(fleet.instances)],
         "silent": list(fleet.silent),
     }
 
 
+def count_evacuations(fleet: FleetStatus) -> dict[str, int]:
+    """Returns on how many instances each evacuation is in force, by failure domain."""
+    counts: collections.Counter[str] = collections.Counter()
+    for status in fleet.instances.values():
+        match status.get("services"):
+            case {"evacuations": {"domains": list(domains)}}:
+                counts.update(domains)
+    return dict(sorted(counts.items()))
+
+
 def describe_explanation(explanation: Explanation) -> dict:
     """Returns the explanation of how traffic is routed, as JSON."""
     route = explanation.route
--- a/packages/gooseberrymux/src/gooseberrymux/canceller.py
+++ b/packages/gooseberrymux/src/gooseberrymux/canceller.py
@@ -25,13 +25,14 @@
     Args:
         kernel: The kernel, which runs the thread.
         get_record: Returns the current record of the upstream.
-        is_running: Returns whether the sub-request with an id is still running.
+        may_cancel: Returns whether the sub-request with an id is still running and the
+            upstream may be asked to cancel it.
     """
 
     __slots__ = (
         "_kernel",
         "_get_record",
-        "_is_running",
+        "_may_cancel",
         "_queue",
         "_condition",
         "_is_thread_running",
@@ -43,11 +44,11 @@
         *,
         kernel: Kernel,
         get_record: Callable[[], UpstreamRecord],
-        is_running: Callable[[str], bool],
+        may_cancel: Callable[[str], bool],
     ):
         self._kernel = kernel
         self._get_record = get_record
-        self._is_running = is_running
+        self._may_cancel = may_cancel
         self._queue: collections.deque[str] = collections.deque(maxlen=QUEUE_LIMIT)
         self._condition = threading.Condition()
         self._is_thread_running = False
@@ -90,7 +91,7 @@
             while True:
                 while self._queue:
                     subrequest_id = self._queue.popleft()
-                    if self._is_running(subrequest_id):
+                    if self._may_cancel(subrequest_id):
                         return subrequest_id
                 woken = not self._closed and self._kernel.clock.wait(
                     self._condition, IDLE_TIMEOUT_MS
--- a/packages/gooseberrymux/src/gooseberrymux/configuration_changes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration_changes.py
@@ -8,6 +8,7 @@
 from collections.abc import Sequence
 
 from gooseberrymux.configuration_checks import (
+    find_last_domain_evacuations,
     find_last_upstream_drains,
     find_problems,
     find_size_problem,
@@ -348,6 +349,9 @@
     warnings += find_last_upstream_drains(
         before=basis, after=candidate, upstreams=upstreams
     )
+    warnings += find_last_domain_evacuations(
+        before=basis, after=candidate, upstreams=upstreams
+    )
     warnings += find_warnings(
         configuration=candidate, size_bytes=size_bytes, upstreams=upstreams
     )
--- a/packages/gooseberrymux/src/gooseberrymux/configuration_checks.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration_checks.py
@@ -28,6 +28,8 @@
 
 # Operators are warned from this share of the platform's body limit.
 SIZE_WARNING_SHARE = 0.8
+# Services that one warning names at most.
+MAX_SERVICES_NAMED = 5
 # Part of the platform's body limit reserved for the rest of the write request: the
 # expected version and the field names.
 WRITE_OVERHEAD_BYTES = 1_000
@@ -168,13 +170,13 @@
     size_bytes: int,
     upstreams: Sequence[UpstreamRecord],
 ) -> list[Problem]:
-    """Returns warnings about unknown drained upstreams and the document's size.
+    """Returns warnings about unknown names in drains and evacuations, and the size.
 
     Args:
         configuration: The new configuration.
         size_bytes: Size of its encoded document.
         upstreams: The platform's upstream list; empty if this instance has none yet,
-            which skips the check of drained upstreams.
+            which skips the check of the names.
     """
     warnings = []
     known = {record.name for record in upstreams}
@@ -187,6 +189,16 @@
                     message="no such upstream in the platform's list",
                 )
             )
+    domains = {record.failure_domain for record in upstreams}
+    for evacuation in configuration.evacuations:
+        if upstreams and evacuation.domain not in domains:
+            warnings.append(
+                Problem(
+                    object=format_object_key(Kind.EVACUATION, evacuation.domain),
+                    field="domain",
+                    message="no upstream of the platform's list is in this domain",
+                )
+            )
     if size_bytes > BODY_LIMIT_BYTES * SIZE_WARNING_SHARE:
         message = f"{size_bytes} bytes, near the platform's limit of {BODY_LIMIT_BYTES}"
         warnings.append(Problem(object="configuration", field="", message=message))
@@ -254,15 +266,60 @@
 def list_live_services(
     configuration: Configuration, upstreams: Sequence[UpstreamRecord]
 ) -> set[str]:
-    """Returns the services of all upstreams that are live and not drained."""
-    drained = {drain.upstream for drain in configuration.drains}
+    """Returns the services of all upstreams that are live and not excluded."""
+    exclusions = Exclusions(configuration)
     return {
         record.service
         for record in upstreams
-        if record.state is UpstreamState.LIVE and record.name not in drained
+        if record.state is UpstreamState.LIVE and not exclusions.cover(record)
     }
 
 
+def find_last_domain_evacuations(
+    *,
+    before: Configuration,
+    after: Configuration,
+    upstreams: Sequence[UpstreamRecord],
+) -> list[Problem]:
+    """Returns the new evacuations that leave services without an upstream."""
+    served_before = list_live_services(before, upstreams)
+    unserved = served_before - list_live_services(after, upstreams)
+    problems = []
+    for evacuation in after.evacuations:
+        lost = sorted(
+            {
+                record.service
+                for record in upstreams
+                if record.failure_domain == evacuation.domain
+                and record.service in unserved
+            }
+        )
+        if lost and evacuation not in before.evacuations:
+            named = ", ".join(lost[:MAX_SERVICES_NAMED])
+            problems.append(
+                Problem(
+                    object=format_object_key(Kind.EVACUATION, evacuation.domain),
+                    field="domain",
+                    message=f"{len(lost)} services are left with no upstream: {named}",
+                )
+            )
+    return problems
+
+
+class Exclusions:
+    """Which upstreams a configuration excludes from new work."""
+
+    __slots__ = ("_drained", "_evacuated")
+
+    def __init__(self, configuration: Configuration):
+        self._drained = {drain.upstream for drain in configuration.drains}
+        self._evacuated = {found.domain for found in configuration.evacuations}
+
+    def cover(self, record: UpstreamRecord) -> bool:
+        """Returns whether an upstream is drained or in an evacuated domain."""
+        return record.name in self._drained or record.failure_domain in self._evacuated
+
+
 def group_upstreams_by_label(upstreams: Sequence[UpstreamRecord]) -> UpstreamsByLabel:
     """Returns the live upstreams by each of their labels, and all of them under None.
 
@@ -283,18 +340,23 @@
     The result for each group is cached; not safe for use by several threads.
     """
 
-    __slots__ = ("_route_table", "_usable_by_group", "_upstreams_by_label", "_drained")
+    __slots__ = (
+        "_route_table",
+        "_usable_by_group",
+        "_upstreams_by_label",
+        "_exclusions",
+    )
 
     def __init__(
         self, configuration: Configuration, upstreams_by_label: UpstreamsByLabel
     ):
         self._route_table = RouteTable(configuration)
         self._upstreams_by_label = upstreams_by_label
-        self._drained = {drain.upstream for drain in configuration.drains}
+        self._exclusions = Exclusions(configuration)
         self._usable_by_group: dict[str, bool] = {}
 
     def reaches(self, traffic: Traffic) -> bool:
-        """Returns whether traffic reaches an upstream that is live and not drained."""
+        """Returns whether traffic reaches an upstream that is live and not excluded."""
         match self._route_table.resolve(traffic):
             case Ok(route):
                 return any(self._is_usable(group) for group in route.groups)
@@ -316,7 +378,7 @@
                 (self._upstreams_by_label.get(label, []) for label in labels), key=len
             )
             self._usable_by_group[group.name] = any(
-                record.name not in self._drained and is_in_group(record, group)
+                not self._exclusions.cover(record) and is_in_group(record, group)
                 for record in candidates
             )
         return self._usable_by_group[group.name]
--- a/packages/gooseberrymux/src/gooseberrymux/configuration_codec.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration_codec.py
@@ -13,6 +13,7 @@
     ConfigurationError,
     ConfigurationObject,
     Drain,
+    Evacuation,
     Group,
     Kind,
     Problem,
@@ -26,6 +27,7 @@
     Kind.GROUP: pydantic.TypeAdapter(Group),
     Kind.SELECTOR: pydantic.TypeAdapter(Selector),
     Kind.DRAIN: pydantic.TypeAdapter(Drain),
+    Kind.EVACUATION: pydantic.TypeAdapter(Evacuation),
 }
 
 
@@ -126,7 +128,11 @@
         case (str(section), int(number), *_) if section in LIST_FIELDS.values():
             kind = next(key for key, value in LIST_FIELDS.items() if value == section)
             match body[section][number]:
-                case {"name": str(name)} | {"upstream": str(name)}:
+                case (
+                    {"name": str(name)}
+                    | {"upstream": str(name)}
+                    | {"domain": str(name)}
+                ):
                     return format_object_key(kind, name)
             return format_object_key(kind, f"#{number}")
         case _:
--- a/packages/gooseberrymux/src/gooseberrymux/configuration_model.py
+++ b/packages/gooseberrymux/src/gooseberrymux/configuration_model.py
@@ -1,4 +1,4 @@
-"""Data classes of the configuration: groups, selectors and drains."""
+"""Data classes of the configuration: groups, selectors, drains, evacuations."""
 
 import dataclasses
 import enum
@@ -53,6 +53,7 @@
     GROUP = "group"
     SELECTOR = "selector"
     DRAIN = "drain"
+    EVACUATION = "evacuation"
 
 
 @_frozen
@@ -112,6 +113,16 @@
     reason: str = ""
 
 
+@_frozen
+class Evacuation:
+    """An operator's instruction to send no request into a failure domain."""
+
+    __pydantic_config__ = FORBID_UNKNOWN_FIELDS
+
+    domain: str
+    reason: str = ""
+
+
 @_frozen
 class RecentChange:
     """An entry in the list of the last accepted changes.
@@ -141,6 +152,7 @@
         groups: Groups, sorted by name.
         selectors: Selectors, sorted by name.
         drains: Drains, sorted by upstream.
+        evacuations: Evacuations, sorted by failure domain.
         recent_changes: The last accepted changes, oldest first.
     """
 
@@ -151,12 +163,13 @@
     groups: list[Group] = dataclasses.field(default_factory=list)
     selectors: list[Selector] = dataclasses.field(default_factory=list)
     drains: list[Drain] = dataclasses.field(default_factory=list)
+    evacuations: list[Evacuation] = dataclasses.field(default_factory=list)
     recent_changes: list[RecentChange] = dataclasses.field(default_factory=list)
 
 
 EMPTY_CONFIGURATION = Configuration(generation=0, change_id="")
 
-ConfigurationObject = Group | Selector | Drain
+ConfigurationObject = Group | Selector | Drain | Evacuation
 
 
 @_frozen
@@ -168,8 +181,18 @@
 
 # For each kind, the field of `Configuration` that lists its objects, and the field of
 # the object that holds its unique name.
-LIST_FIELDS = {Kind.GROUP: "groups", Kind.SELECTOR: "selectors", Kind.DRAIN: "drains"}
-NAME_FIELDS = {Kind.GROUP: "name", Kind.SELECTOR: "name", Kind.DRAIN: "upstream"}
+LIST_FIELDS = {
+    Kind.GROUP: "groups",
+    Kind.SELECTOR: "selectors",
+    Kind.DRAIN: "drains",
+    Kind.EVACUATION: "evacuations",
+}
+NAME_FIELDS = {
+    Kind.GROUP: "name",
+    Kind.SELECTOR: "name",
+    Kind.DRAIN: "upstream",
+    Kind.EVACUATION: "domain",
+}
 
 
 def list_objects_of_kind(configuration: Configuration, kind: Kind) -> list:
--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -93,8 +93,8 @@
         names: Configured names of the protocol's HTTP headers.
         reply_memory: Limits what unfinished replies hold together.
         on_result: Called in the connection's thread with the result of each exchange.
-        check_send: Called in the connection's thread before and after a new socket is
-            opened for an exchange.
+        check_send: Called just before a request is written to the open socket, and
+            before and after a new socket is opened for an exchange.
     """
 
     __slots__ = (
@@ -209,11 +209,15 @@
         """Starts writing a request to the open socket, without blocking.
 
         Returns False, with nothing written, if the socket is closed, has failed, was
-        idle for too long or has brought a failure of the same request.
+        idle for too long or has brought a failure of the same request, or if the
+        request is not to be sent any more.
         """
         sock = self._socket
         if sock is None or self.has_failed(exchange.call.request_id):
             return False
+        if self._check_send(exchange):
+            # The connection's thread reports the reason.
+            return False
         idle_ms = self._clock.now_ms() - self._last_used_ms
         limit_ms = self._idle_limit_ms
         if not exchange.call.repeatable:
--- a/packages/gooseberrymux/src/gooseberrymux/dispatch.py
+++ b/packages/gooseberrymux/src/gooseberrymux/dispatch.py
@@ -5,6 +5,7 @@
 from gooseberrymux import journal, metrics
 from gooseberrymux.departures import Departures, UpstreamLeaving
 from gooseberrymux.duplicates import RecentIds
+from gooseberrymux.evacuations import EvacuationsChanged
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.messages import CancelSubrequest, Subrequest, SubrequestOutcome
@@ -16,7 +17,6 @@
     REASON_LEAVING,
     REASON_QUEUE_FULL,
     REASON_UNKNOWN_UPSTREAM,
-    REASON_UPSTREAM_LEAVING,
     OutcomeCallback,
     PoolClosed,
     Queued,
@@ -61,6 +61,7 @@
         self._peers.register(CancelSubrequest, self._handle_cancel)
         kernel.subscribe(LeaveStarted, self._handle_leave)
         kernel.subscribe(UpstreamLeaving, self._handle_upstream_leaving)
+        kernel.subscribe(EvacuationsChanged, self._handle_evacuations)
 
     def start(self) -> None:
         """Does nothing: a pool starts with the first sub-request for its upstream."""
@@ -145,10 +146,8 @@
         if self._leaving and requester:
             on_outcome(create_not_run(subrequest, REASON_LEAVING, subrequest.upstream))
             return
-        if self._inventory.is_leaving(record):
-            on_outcome(
-                create_not_run(subrequest, REASON_UPSTREAM_LEAVING, subrequest.upstream)
-            )
+        if reason := self._inventory.find_obstacle(record):
+            on_outcome(create_not_run(subrequest, reason, subrequest.upstream))
             return
         now_ms = self._kernel.clock.now_ms()
         item = QueuedItem(
@@ -222,12 +221,20 @@
 
     def _handle_upstream_leaving(self, event: UpstreamLeaving) -> None:
         pool = self._pools.get(event.upstream)
-        if pool is None or not self._inventory.is_leaving(pool.record):
+        if pool is not None:
+            self._refuse_queued(pool)
+
+    def _handle_evacuations(self, event: EvacuationsChanged) -> None:
+        for pool in list(self._pools.values()):
+            self._refuse_queued(pool)
+
+    def _refuse_queued(self, pool: UpstreamWorkerPool) -> None:
+        """Returns what waits for an upstream that gets no more requests."""
+        reason = self._inventory.find_obstacle(pool.record)
+        if reason is None:
             return
         for item in pool.remove_queued(remote_only=False):
-            item.on_outcome(
-                create_not_run(item.subrequest, REASON_UPSTREAM_LEAVING, event.upstream)
-            )
+            item.on_outcome(create_not_run(item.subrequest, reason, pool.record.name))
 
     def _open_pool(self, record: UpstreamRecord) -> UpstreamWorkerPool | None:
         pool = self._pools.get(record.name)
@@ -242,6 +249,7 @@
                     kernel=self._kernel,
                     record=record,
                     departures=self._departures,
+                    inventory=self._inventory,
                     on_closed=self._remove_pool,
                 )
                 self._pools[record.name] = pool
--- a/packages/gooseberrymux/src/gooseberrymux/inventory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -12,6 +12,7 @@
 from gooseberrymux.departures import Departures
 from gooseberrymux.documents import DocumentChanged, Documents
 from gooseberrymux.eras import get_era
+from gooseberrymux.evacuations import Evacuations
 from gooseberrymux.kernel import Kernel, service
 from gooseberrymux.membership import Membership
 from gooseberrymux.records import InstanceRecord, UpstreamRecord, UpstreamState
@@ -27,11 +28,17 @@
 # Upstreams that leave do so a few at a time.
 MASS_REMOVAL_MIN_COUNT = 3
 MASS_REMOVAL_MIN_SHARE = 0.2
+# Why an upstream gets no new work.
+REASON_UPSTREAM_LEAVING = "upstream_leaving"
+REASON_DOMAIN_EVACUATED = "domain_evacuated"
 # Services that one log line names at most.
 MAX_SERVICES_LOGGED = 20
 
 
-@service("inventory", requires=("documents", "membership", "departures", "timers"))
+@service(
+    "inventory",
+    requires=("documents", "membership", "departures", "evacuations", "timers"),
+)
 class Inventory:
     """Holds the records of all upstreams. Any thread may read them."""
 
@@ -40,6 +47,7 @@
         "_timers",
         "_membership",
         "_departures",
+        "_evacuations",
         "_listed",
         "_retained",
         "_era",
@@ -54,6 +62,7 @@
         documents.watch_prefix(INVENTORY_NAME, compare_content=True)
         self._membership = kernel.find("membership", Membership)
         self._departures = kernel.find("departures", Departures)
+        self._evacuations = kernel.find("evacuations", Evacuations)
         self._clock = kernel.clock
         self._timers = kernel.find("timers", Timers)
         self._listed: dict[str, UpstreamRecord] = {}
@@ -87,7 +96,7 @@
             return tuple(self._upstreams.values())
 
     def is_leaving(self, record: UpstreamRecord) -> bool:
-        """Returns whether an upstream gets no new work, as it is leaving.
+        """Returns whether an upstream is known to be leaving.
 
         Either the platform's list or a departure notice may say so.
         """
@@ -95,14 +104,26 @@
             record.name, record.epoch
         )
 
+    def find_obstacle(self, record: UpstreamRecord) -> str | None:
+        """Returns the reason code for sending an upstream no request, or None.
+
+        All code that chooses an upstream or sends to one asks here, so that no request
+        reaches an upstream that is leaving or whose failure domain is evacuated.
+        """
+        if self._evacuations.is_evacuated(record.failure_domain):
+            return REASON_DOMAIN_EVACUATED
+        if self.is_leaving(record):
+            return REASON_UPSTREAM_LEAVING
+        return None
+
     def list_replicas(
         self, *, groups: tuple[Group, ...], service_name: str
     ) -> tuple[UpstreamRecord, ...]:
-        """Returns the live upstreams of a service that belong to one of the groups."""
+        """Returns the upstreams of a service in the groups that may get requests."""
         return tuple(
             record
             for record in self._by_service.get(service_name, ())
-            if not self.is_leaving(record)
+            if self.find_obstacle(record) is None
             and any(group.match.items() <= record.labels.items() for group in groups)
         )
 
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -119,6 +119,10 @@
 leaving_upstreams = Gauge(
     "gooseberrymux_leaving_upstreams", "Upstreams with a leaving notice."
 )
+evacuated_domains = Gauge(
+    "gooseberrymux_evacuated_domains",
+    "Failure domains whose evacuation is in force on this instance.",
+)
 callers_left_total = Counter(
     "gooseberrymux_callers_left_total", "Callers that left before their answer."
 )
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -223,6 +223,21 @@
                     self._try_hedge(request, now_ms)
         self._deliver_outcomes()
 
+    def apply_evacuations(self) -> None:
+        """Sends waiting requests to where it is allowed now, or refuses them.
+
+        They are refused as not run if no upstream is left that may get them.
+        """
+        with self._lock:
+            self._dispatch(self._clock.now_ms())
+            if not self._replicas.has_open():
+                waiting = [*self._resend_queue, *self._queue.remove(lambda _: True)]
+                self._resend_queue = []
+                for request in waiting:
+                    if not request.settled:
+                        self._fail_request(request, REASON_NO_REPLICA)
+        self._deliver_outcomes()
+
     def reject_forwarded(self) -> None:
         """Fails the queued requests of other instances as not run at a planned stop."""
         with self._lock:
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -5,6 +5,7 @@
 
 from gooseberrymux import metrics
 from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
+from gooseberrymux.evacuations import EvacuationsChanged
 from gooseberrymux.forward_exchange import encode_head
 from gooseberrymux.forward_messages import (
     AttemptGranted,
@@ -81,6 +82,7 @@
         self._peers.register(CancelForward, self._handle_cancel)
         self._peers.register(AttemptGranted, self._handle_attempt)
         kernel.subscribe(LeaveStarted, self._handle_leave)
+        kernel.subscribe(EvacuationsChanged, self._handle_evacuations)
 
     def start(self) -> None:
         """Does nothing: a pool is created with the first request of its service."""
@@ -208,6 +210,10 @@
         for pool in list(self._pools.values()):
             pool.reject_forwarded()
 
+    def _handle_evacuations(self, event: EvacuationsChanged) -> None:
+        for pool in list(self._pools.values()):
+            pool.apply_evacuations()
+
     def _handle_call(self, sender: InstanceIdentity, message: object) -> None:
         assert isinstance(message, ForwardCall)
 
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -6,7 +6,7 @@
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
-from gooseberrymux.replicas import REASON_UPSTREAM_LEAVING, SLOW_FACTOR, Replica
+from gooseberrymux.replicas import SLOW_FACTOR, Replica
 from gooseberrymux.reply_memory import ReplyMemory
 
 UNLIMITED_CONNECTIONS = 1 << 16
@@ -100,16 +100,23 @@
             now_ms: Monotonic time in milliseconds.
             excluded: Names of upstreams to leave out.
         """
-        is_leaving = self._inventory.is_leaving
+        find_obstacle = self._inventory.find_obstacle
         return [
             replica
             for name, replica in self._replicas.items()
             if name not in excluded
             and not replica.is_ejected(now_ms)
             and not replica.limits.get_pause_ms(now_ms)
-            and not is_leaving(replica.record)
+            and find_obstacle(replica.record) is None
         ]
 
+    def has_open(self) -> bool:
+        """Returns whether an upstream is neither leaving nor in an evacuated domain."""
+        return any(
+            self._inventory.find_obstacle(replica.record) is None
+            for replica in self._replicas.values()
+        )
+
     def count_parallel(self, median_ms: float, now_ms: float) -> float:
         """Returns how many exchanges the usable upstreams run at a time on average.
 
@@ -128,7 +135,7 @@
         pauses_ms = [
             replica.limits.get_pause_ms(now_ms)
             for replica in self._replicas.values()
-            if not self._inventory.is_leaving(replica.record)
+            if self._inventory.find_obstacle(replica.record) is None
         ]
         return min((pause_ms for pause_ms in pauses_ms if pause_ms > 0.0), default=0.0)
 
@@ -230,7 +237,7 @@
             names=self._kernel.settings.gateway.headers,
             reply_memory=self._reply_memory,
             on_result=finish,
-            check_send=lambda exchange: self._find_obstacle(replica),
+            check_send=lambda exchange: self._inventory.find_obstacle(replica.record),
         )
         self._opened_count += 1
         self._kernel.spawn(
@@ -240,12 +247,6 @@
         )
         return connection
 
-    def _find_obstacle(self, replica: Replica) -> str | None:
-        """Returns the reason code for sending an upstream no more requests, or None."""
-        if self._inventory.is_leaving(replica.record):
-            return REASON_UPSTREAM_LEAVING
-        return None
-
     def release_connection(self, replica: Replica, connection: Connection) -> None:
         """Keeps a connection for reuse, or closes it if its upstream was replaced."""
         if self._replicas.get(replica.record.name) is replica:
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -5,6 +5,7 @@
 from gooseberrymux import forward_exchange, journal
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.exchange import REASON_DEADLINE
+from gooseberrymux.inventory import REASON_DOMAIN_EVACUATED, REASON_UPSTREAM_LEAVING
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.send_limits import SendLimits
 from gooseberrymux.upstream_health import (
@@ -39,9 +40,10 @@
 # traffic leaves the domain only if the upstream there does not keep pace.
 REMOTE_DOMAIN_COST = 0.5
 EJECTION_LIMIT_MS = 2_000.0
-REASON_UPSTREAM_LEAVING = "upstream_leaving"
 # Why this instance itself did not send a request.
-OWN_REASONS = frozenset({REASON_DEADLINE, REASON_UPSTREAM_LEAVING})
+OWN_REASONS = frozenset(
+    {REASON_DEADLINE, REASON_UPSTREAM_LEAVING, REASON_DOMAIN_EVACUATED}
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -94,6 +94,8 @@
         watch_pause_ms: Wait after a watch that brought changes.
         staleness_bound_ms: Time from the acknowledgement of a change within which it
             is in force on all instances, if any of them can read the platform.
+        evacuations: Whether the platform holds evacuations of failure domains, which
+            takes one more watch.
     """
 
     url: str
@@ -103,6 +105,7 @@
     watch_timeout_ms: DurationMs = 10_000
     watch_pause_ms: Annotated[int, Meta(ge=0)] = 0
     staleness_bound_ms: Annotated[float, Meta(gt=0)] = 5_000.0
+    evacuations: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -16,6 +16,7 @@
     SubrequestConnection,
     create_subrequest_connection,
 )
+from gooseberrymux.inventory import REASON_DOMAIN_EVACUATED, Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.messages import (
     Subrequest,
@@ -31,7 +32,6 @@
 REASON_QUEUE_FULL = "queue_full"
 REASON_CANCELLED = "cancelled"
 REASON_LEAVING = "instance_leaving"
-REASON_UPSTREAM_LEAVING = "upstream_leaving"
 # Reason that a draining upstream gives in its reply when it refuses a request.
 REASON_DRAINING = "draining"
 REASON_UNKNOWN_UPSTREAM = "unknown_upstream"
@@ -126,6 +126,7 @@
         "record",
         "_kernel",
         "_departures",
+        "_inventory",
         "_queue",
         "_refusal_policy",
         "_lock",
@@ -148,12 +149,14 @@
         kernel: Kernel,
         record: UpstreamRecord,
         departures: Departures,
+        inventory: Inventory,
         on_closed: Callable[["UpstreamWorkerPool"], None],
     ):
         settings = kernel.settings
         self.record = record
         self._kernel = kernel
         self._departures = departures
+        self._inventory = inventory
         self._on_closed = on_closed
         self._refusal_policy: RefusalPolicy = (
             EarlyRefusal() if settings.policy.early_refusal else LateRefusal()
@@ -177,7 +180,7 @@
         self._canceller = Canceller(
             kernel=kernel,
             get_record=lambda: self.record,
-            is_running=lambda subrequest_id: subrequest_id in self._running,
+            may_cancel=self._may_cancel,
         )
 
     def start(self) -> None:
@@ -293,6 +296,14 @@
     def _connection_limit(self) -> int:
         return max(1, min(self.record.slots, self.record.connections))
 
+    def _may_cancel(self, subrequest_id: str) -> bool:
+        """Returns whether to ask the upstream to cancel a sub-request.
+
+        A cancel is a request too, so an evacuated domain gets none.
+        """
+        obstacle = self._inventory.find_obstacle(self.record)
+        return subrequest_id in self._running and obstacle != REASON_DOMAIN_EVACUATED
+
     def _run_worker(self, worker_index: int) -> None:
         connection = create_subrequest_connection(
             record=self.record, kernel=self._kernel
@@ -354,8 +365,8 @@
         if self._kernel.clock.now_ms() >= item.deadline_ms:
             return create_not_run(item.subrequest, REASON_DEADLINE, self.record.name)
         record = connection.record
-        if self._departures.is_leaving(record.name, record.epoch):
-            return create_not_run(item.subrequest, REASON_UPSTREAM_LEAVING, record.name)
+        if reason := self._inventory.find_obstacle(record):
+            return create_not_run(item.subrequest, reason, record.name)
         try:
             outcome = connection.run(item.subrequest, item.deadline_ms)
             self._apply_signals(connection, outcome)
--- a/tests/machines/fake_store.py
+++ b/tests/machines/fake_store.py
@@ -113,6 +113,16 @@
         with self._changed:
             self._remove(kind, name)
 
+    def mark_deleting(self, kind: str, name: str) -> None:
+        """Starts the deletion of an object that a finalizer keeps until `remove`."""
+        with self._changed:
+            item = self._objects[kind, name]
+            self._revision += 1
+            meta = {"revision": self._revision, "finalizers": ["f"], "deleting": True}
+            item = {**item, "meta": {**item["meta"], **meta}}
+            self._objects[kind, name] = item
+            self._append_event(kind, item, is_deleted=False)
+
     def list_names(self, kind: str) -> list[str]:
         """Returns the names of all objects of a kind."""
         with self._changed:
--- a/tests/machines/test_deploy.py
+++ b/tests/machines/test_deploy.py
@@ -65,6 +65,13 @@
     assert read_settings(bounds=bounds).platform.staleness_bound_ms > 0
 
 
+def test_evacuations_are_read_only_where_the_platform_promises_them():
+    # Guards against a watch that an existing deployment pays for and doesn't need.
+    assert not read_settings().platform.evacuations
+    bounds = {**FIELDS["bounds"], "evacuateMs": 5_000}
+    assert read_settings(bounds=bounds).platform.evacuations
+
+
 def test_fractions_and_missing_seeds_are_no_hindrance():
     # Guards against an instance that fails to start on a deployment with fractions as
     # limits or without seeds.
--- a/tests/machines/test_store_platform.py
+++ b/tests/machines/test_store_platform.py
@@ -11,7 +11,7 @@
 from harness import create_settings
 from machines.fake_store import PAGE_SIZE, FakeStore
 
-ROUTES, SERVERS = "routes/", "instances"
+ROUTES, SERVERS, EVACUATIONS = "routes/", "instances", "evacuations/"
 
 
 class ChangingStore(FakeStore):
@@ -59,6 +59,12 @@
         (found,) = self.watch(SERVERS, revision).unwrap().objects
         return [record["name"] for record in found.value["upstreams"]]
 
+    def list_evacuated(self, revision=0):
+        changes = self.watch(EVACUATIONS, revision).unwrap()
+        (found,) = changes.objects
+        assert found.name == "evacuations/current"
+        return found.value["domains"], changes.revision
+
     def stop(self):
         self.platform.stop()
         self.store.close()
@@ -100,6 +106,28 @@
     assert changed.objects[0].value["generation"] == changed.revision
 
 
+def test_evacuations_are_one_document_that_follows_their_objects(harness):
+    domains, at = harness.list_evacuated()
+    assert domains == [], "an empty list is a state"
+    for name in ("z-b", "z-a"):
+        harness.store.write("evacuations", name, {})
+    domains, at = harness.list_evacuated(at)
+    assert domains == ["z-a", "z-b"]
+    harness.store.remove("evacuations", "z-a")
+    assert harness.list_evacuated(at)[0] == harness.list_evacuated()[0] == ["z-b"]
+
+
+def test_an_evacuation_holds_until_its_object_is_gone(harness):
+    # Guards against requests into a domain whose object a finalizer still keeps.
+    harness.store.write("evacuations", "z-a", {})
+    _, at = harness.list_evacuated()
+    harness.store.mark_deleting("evacuations", "z-a")
+    domains, after = harness.list_evacuated(at)
+    assert domains == harness.list_evacuated()[0] == ["z-a"]
+    harness.store.remove("evacuations", "z-a")
+    assert harness.list_evacuated(after)[0] == []
+
+
 def test_two_watchers_make_the_same_document_of_one_revision(harness):
     """Guards against two contents of one generation, which peers resend in a loop.
 
--- a/tests/order_simulation.py
+++ b/tests/order_simulation.py
@@ -281,8 +281,8 @@
         ]
         self._by_service = {"a": upstream_records}
 
-    def is_leaving(self, record):
-        return False
+    def find_obstacle(self, record):
+        return None
 
 
 class InlineKernel(Kernel):
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -39,12 +39,15 @@
         callers: int,
         shards: int,
         replicas: int,
+        bounds: dict[str, float] | None = None,
     ):
         self.random = random.Random(seed)
         self.record = Record()
         self.store = FakeStore()
         self.entries = [
-            SupervisedInstance(number=n, folder=folder, store_port=self.store.port)
+            SupervisedInstance(
+                number=n, folder=folder, store_port=self.store.port, bounds=bounds
+            )
             for n in range(instances)
         ]
         self.upstreams: dict[str, Upstream] = {}
--- a/tests/soak/instances.py
+++ b/tests/soak/instances.py
@@ -55,6 +55,7 @@
         "exits",
         "exceeded_grace",
         "_folder",
+        "_bounds",
         "_health_port",
         "_peer_port",
         "_ports",
@@ -64,7 +65,14 @@
         "_is_stopping",
     )
 
-    def __init__(self, *, number: int, folder: Path, store_port: int):
+    def __init__(
+        self,
+        *,
+        number: int,
+        folder: Path,
+        store_port: int,
+        bounds: dict[str, float] | None = None,
+    ):
         self.name = f"front-{number}"
         self.lifetime = 0
         self.is_ready = False
@@ -73,6 +81,7 @@
         self.exits: list[ProcessExit] = []
         self.exceeded_grace: list[int] = []
         self._folder = folder
+        self._bounds = bounds or {}
         self._number = number
         self._ports = [ReservedPort() for _ in range(3)]
         self.caller_port, self._health_port, self._peer_port = (
@@ -134,6 +143,7 @@
                 "retryBudgetSlack": slack,
                 "budgetWindowS": 10,
                 "configApplyMs": CONFIG_APPLY_MS,
+                **self._bounds,
             },
             "platform": {"address": f"{HOST}:{self.store_proxy.port}"},
         }
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -458,6 +458,21 @@
     upstream.close()
 
 
+def test_an_open_connection_carries_nothing_to_an_evacuated_domain():
+    # Guards against a request that was chosen before the evacuation and written after.
+    upstream = HttpUpstream(lambda request: request.reply())
+    obstacles = []
+    driver = ConnectionDriver(
+        upstream.create_record(), lambda _: obstacles[0] if obstacles else None
+    )
+    assert isinstance(run_exchange(driver), Replied)
+    obstacles.append("domain_evacuated")
+    assert run_exchange(driver) == NotSent(reason="domain_evacuated")
+    assert len(upstream.requests) == 1
+    driver.close()
+    upstream.close()
+
+
 class EarlyAnsweringUpstream:
     """Answers the second request before it has read the body, and reads on later.
 
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -1,19 +1,29 @@
 """Work queued or sent for an upstream that is leaving, over real links and HTTP."""
 
+import dataclasses
 import threading
 
 import pytest
 
 from gooseberrymux import web
 from gooseberrymux.configuration import Group
+from gooseberrymux.configuration_model import (
+    EMPTY_CONFIGURATION,
+    ConfigurationChanged,
+    Evacuation,
+)
 from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
 from gooseberrymux.dispatch import (
     REASON_LEAVING,
-    REASON_UPSTREAM_LEAVING,
     Dispatch,
 )
 from gooseberrymux.documents import DocumentChanged
-from gooseberrymux.inventory import INVENTORY_NAME, Inventory
+from gooseberrymux.inventory import (
+    INVENTORY_NAME,
+    REASON_DOMAIN_EVACUATED,
+    REASON_UPSTREAM_LEAVING,
+    Inventory,
+)
 from gooseberrymux.kernel import Kernel, LeaveStarted
 from gooseberrymux.messages import Subrequest, SubrequestCompleted, SubrequestNotRun
 from gooseberrymux.records import Rank
@@ -92,6 +102,12 @@
             )
         )
 
+    def evacuate(self, *domains):
+        configuration = dataclasses.replace(
+            EMPTY_CONFIGURATION, evacuations=[Evacuation(domain=d) for d in domains]
+        )
+        self.kernel.publish(ConfigurationChanged(configuration=configuration))
+
     def submit(self, name, *, remote=False):
         subrequest = Subrequest(
             id=name,
@@ -157,6 +173,26 @@
     assert upstream.request_ids == ["running"]
 
 
+def test_what_waits_for_an_evacuated_domain_is_refused_as_not_run(upstream):
+    # Guards against work in the query path that waits for a domain that is closed.
+    owner = OwnerNode("one", upstream)
+    upstream.may_reply.clear()
+    with running(owner):
+        owner.submit("running")
+        wait_for(lambda: upstream.request_ids == ["running"], "the running exchange")
+        owner.submit("queued")
+        owner.evacuate("domain-a")
+        assert_refused(owner.outcomes["queued"], REASON_DOMAIN_EVACUATED)
+        owner.submit("later")
+        assert_refused(owner.outcomes["later"], REASON_DOMAIN_EVACUATED)
+        assert owner.list_replicas() == ()
+        upstream.may_reply.set()
+        assert isinstance(owner.wait_for_outcome("running"), SubrequestCompleted)
+        owner.evacuate()
+        owner.submit("after")
+        assert isinstance(owner.wait_for_outcome("after"), SubrequestCompleted)
+
+
 def test_notice_outlives_the_owner_that_saw_the_signal(upstream):
     # Guards against a new owner that sends work to a leaving upstream, because the old
     # owner saw the signal and the platform's list lags.
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -59,8 +59,10 @@
 class Owner:
     """An instance that owns a service, with real connections to scripted upstreams."""
 
-    def __init__(self, *, instance=None, **forwarding):
-        settings = create_settings(instance=instance or {}, forwarding=forwarding)
+    def __init__(self, *, instance=None, platform=None, **forwarding):
+        settings = create_settings(
+            instance=instance or {}, platform=platform or {}, forwarding=forwarding
+        )
         self.kernel = Kernel(settings=settings, clock=Clock())
         self.departures = FakeDepartures()
         for name, fake in {
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -42,8 +42,8 @@
     def list_service_upstreams(self, service_name):
         return self.records
 
-    def is_leaving(self, record):
-        return record.name in self.leaving
+    def find_obstacle(self, record):
+        return REASON_UPSTREAM_LEAVING if record.name in self.leaving else None
 
 
 class Owner:
