--- a/packages/gooseberrymux/src/gooseberrymux/evacuations.py
+++ b/packages/gooseberrymux/src/gooseberrymux/evacuations.py
@@ -19,6 +19,10 @@
 # A platform that has gone back to an earlier state lacks the evacuations that were
 # asked for since then until they are written again. They stay in force this long.
 LOST_EVACUATION_HOLD_MS = 5_000.0
+# The upstreams of a domain may have become cold shortly before its evacuation ends.
+# Each writes its entry about every 1.2 s; four of these periods cover a write that
+# fails and the time that the entry takes to get here.
+COLD_AFTER_EVACUATION_MS = 4_800.0
 
 
 class EvacuationsChanged:
@@ -42,6 +46,7 @@
         "_held",
         "_era",
         "_domains",
+        "_ended_ms",
         "_lock",
     )
 
@@ -56,6 +61,8 @@
         # Era of the platform to which the listed domains belong.
         self._era = 0
         self._domains: frozenset[str] = frozenset()
+        # When the latest evacuation of each domain ended.
+        self._ended_ms: dict[str, float] = {}
         self._lock = threading.Lock()
         kernel.subscribe(ConfigurationChanged, self._handle_configuration)
         if kernel.settings.platform.evacuations:
@@ -81,6 +88,13 @@
         """Returns whether the upstreams of a failure domain get no request."""
         return domain in self._domains
 
+    def has_just_ended(self, domain: str) -> bool:
+        """Returns whether the upstreams of a domain may be cold after an evacuation."""
+        ended_ms = self._ended_ms.get(domain)
+        if ended_ms is None:
+            return False
+        return self._kernel.clock.now_ms() - ended_ms < COLD_AFTER_EVACUATION_MS
+
     def _handle_document(self, event: DocumentChanged) -> None:
         if event.name != EVACUATIONS_NAME:
             return
@@ -118,6 +132,8 @@
             }
             before = self._domains
             after = self._listed | self._ordered | self._held.keys()
+            # Set before the domains open, so that no send sees neither of both.
+            self._ended_ms |= dict.fromkeys(before - after, now_ms)
             self._domains = after
         if before == after:
             return
--- a/packages/gooseberrymux/src/gooseberrymux/inventory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/inventory.py
@@ -116,6 +116,13 @@
             return REASON_UPSTREAM_LEAVING
         return None
 
+    def is_cold(self, record: UpstreamRecord) -> bool:
+        """Returns whether an upstream is cold, or may be as its domain was evacuated.
+
+        The platform's list may still say what held before or during the evacuation.
+        """
+        return record.cold or self._evacuations.has_just_ended(record.failure_domain)
+
     def list_replicas(
         self, *, groups: tuple[Group, ...], service_name: str
     ) -> tuple[UpstreamRecord, ...]:
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -123,6 +123,10 @@
     "gooseberrymux_evacuated_domains",
     "Failure domains whose evacuation is in force on this instance.",
 )
+cold_changes_total = Counter(
+    "gooseberrymux_cold_changes_total",
+    "Upstreams with a limit for cold ones that became cold or warm, by state.",
+)
 callers_left_total = Counter(
     "gooseberrymux_callers_left_total", "Callers that left before their answer."
 )
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -79,6 +79,8 @@
         reply_memory: Limits what unfinished replies hold together.
         get_connection_limit: Returns how many connections each upstream of a service
             accepts; None if not limited.
+        get_cold_rate: Returns how many requests a second a cold upstream of a service
+            accepts; 0 if not limited.
         report_leaving: Called with an upstream whose reply says that it leaves, unless
             that is known already; tells the other instances.
     """
@@ -89,6 +91,7 @@
     latencies: RouteLatencies
     reply_memory: ReplyMemory
     get_connection_limit: Callable[[str], int | None]
+    get_cold_rate: Callable[[str], float]
     report_leaving: Callable[[UpstreamRecord], None]
 
 
@@ -126,6 +129,7 @@
             inventory=dependencies.inventory,
             reply_memory=dependencies.reply_memory,
             get_connection_limit=dependencies.get_connection_limit,
+            get_cold_rate=dependencies.get_cold_rate,
         )
         policy = create_scheduling_policy(settings)
         self._queue = RankQueue(
@@ -425,6 +429,8 @@
             or now_ms + request.latency.median_ms > request.deadline_ms
         ):
             return
+        # The upstream that it would go to may have become cold or warm since.
+        self._replicas.refresh()
         replica = self._replicas.choose(
             tried=request.tried_upstreams, may_probe=False, now_ms=now_ms
         )
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -71,6 +71,7 @@
             latencies=RouteLatencies(),
             reply_memory=kernel.find("reply_memory", ReplyMemory),
             get_connection_limit=self._get_connection_limit,
+            get_cold_rate=self._get_cold_rate,
             report_leaving=self._report_leaving,
         )
         self._pools: dict[str, Pool] = {}
@@ -187,6 +188,10 @@
         table = self._routes.get_current()
         return table.connections.get(service_name) if table else None
 
+    def _get_cold_rate(self, service_name: str) -> float:
+        table = self._routes.get_current()
+        return table.cold_rates_per_s.get(service_name, 0.0) if table else 0.0
+
     def _report_leaving(self, record: UpstreamRecord) -> None:
         self._departures.report_leaving(
             upstream=record.name, epoch=record.epoch, source=SOURCE_UPSTREAM
--- a/packages/gooseberrymux/src/gooseberrymux/rate_limits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/rate_limits.py
@@ -39,12 +39,26 @@
 
     Not thread-safe: the owner holds its lock around each call. Times are monotonic
     milliseconds.
+
+    Args:
+        rate_per_s: Requests a second that the upstream takes.
+        now_ms: The current time.
+        burst_ms: Tokens that the bucket holds at most, as the time in which they
+            accrue; it always holds one.
     """
 
-    __slots__ = ("_rate_per_s", "_tokens", "_refilled_ms", "_sends", "_reported_ms")
+    __slots__ = (
+        "_rate_per_s",
+        "_burst_ms",
+        "_tokens",
+        "_refilled_ms",
+        "_sends",
+        "_reported_ms",
+    )
 
-    def __init__(self, *, rate_per_s: float, now_ms: float):
+    def __init__(self, *, rate_per_s: float, now_ms: float, burst_ms: float = BURST_MS):
         self._rate_per_s = rate_per_s
+        self._burst_ms = burst_ms
         self._tokens = 0.0
         self._refilled_ms = now_ms
         self._sends = 0
@@ -93,7 +107,7 @@
 
     @property
     def _capacity(self) -> float:
-        return max(1.0, self.allowed_per_s * BURST_MS / MS_PER_S)
+        return max(1.0, self.allowed_per_s * self._burst_ms / MS_PER_S)
 
     def _refill(self, now_ms: float) -> None:
         accrued = (now_ms - self._refilled_ms) / MS_PER_S * self.allowed_per_s
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -10,6 +10,12 @@
 from gooseberrymux.reply_memory import ReplyMemory
 
 UNLIMITED_CONNECTIONS = 1 << 16
+# While the instances disagree about the owner of a service, the one before may still
+# send at the whole rate of a cold upstream. An owner that had no request of the service
+# for this long counts as new for as long, and sends at this share of the rate: both
+# together stay below 1.5 times the rate, which cold upstreams tolerate.
+OWNER_OVERLAP_MS = 2_000.0
+NEW_OWNER_SHARE = 0.5
 
 
 class ReplicaSet:
@@ -24,6 +30,10 @@
         "_inventory",
         "_reply_memory",
         "_get_connection_limit",
+        "_get_cold_rate",
+        "_has_cold_limits",
+        "_refreshed_ms",
+        "_owner_since_ms",
         "_records",
         "_replicas",
         "_opened_count",
@@ -37,12 +47,19 @@
         inventory: Inventory,
         reply_memory: ReplyMemory,
         get_connection_limit: Callable[[str], int | None],
+        get_cold_rate: Callable[[str], float] = lambda service: 0.0,
     ):
         self._service = service
         self._kernel = kernel
         self._inventory = inventory
         self._reply_memory = reply_memory
         self._get_connection_limit = get_connection_limit
+        self._get_cold_rate = get_cold_rate
+        self._has_cold_limits = False
+        # When the cold upstreams were last looked at, and since when they were without
+        # a pause, in monotonic milliseconds.
+        self._refreshed_ms = float("-inf")
+        self._owner_since_ms = float("-inf")
         self._records: tuple[UpstreamRecord, ...] = ()
         self._replicas: dict[str, Replica] = {}
         self._opened_count = 0
@@ -60,19 +77,46 @@
                 "slowness": round(replica.get_slowness(now_ms), 2),
                 "stalled": replica.is_stalled(now_ms),
                 "state": type(replica.evidence.state).__name__,
+                "cold_limit": replica.limits.cold_limit is not None,
             }
             for name, replica in self._replicas.items()
         }
 
     def refresh(self) -> None:
-        """Applies changes to the list of upstreams.
+        """Applies changes to the list of upstreams, and to which of them are cold."""
+        records = self._inventory.list_service_upstreams(self._service)
+        if records is not self._records:
+            self._replace_records(records)
+        rate_per_s = self._get_cold_rate(self._service)
+        if rate_per_s > 0.0 or self._has_cold_limits:
+            self._update_cold_limits(rate_per_s, self._kernel.clock.now_ms())
+
+    def _update_cold_limits(self, rate_per_s: float, now_ms: float) -> None:
+        if now_ms - self._refreshed_ms > OWNER_OVERLAP_MS:
+            self._owner_since_ms = now_ms
+        self._refreshed_ms = now_ms
+        is_new_owner = now_ms - self._owner_since_ms < OWNER_OVERLAP_MS
+        allowed_per_s = rate_per_s * (NEW_OWNER_SHARE if is_new_owner else 1.0)
+        for replica in self._replicas.values():
+            is_cold = rate_per_s > 0.0 and (
+                self._inventory.is_cold(replica.record)
+                or replica.may_have_restarted(now_ms)
+            )
+            replica.limits.set_cold(
+                allowed_per_s if is_cold else None,
+                record=replica.record,
+                now_ms=now_ms,
+            )
+        self._has_cold_limits = any(
+            replica.limits.cold_limit is not None for replica in self._replicas.values()
+        )
+
+    def _replace_records(self, records: tuple[UpstreamRecord, ...]) -> None:
+        """Replaces the list of upstreams.
 
         An upstream that runs on keeps its evidence and connections; another run of it
         starts without evidence.
         """
-        records = self._inventory.list_service_upstreams(self._service)
-        if records is self._records:
-            return
         self._records = records
         previous, self._replicas = self._replicas, {}
         for record in records:
@@ -140,8 +184,8 @@
         return min((pause_ms for pause_ms in pauses_ms if pause_ms > 0.0), default=0.0)
 
     def is_rate_limited(self, now_ms: float) -> bool:
-        """Returns whether a usable upstream names a rate limit."""
-        return any(replica.limits.rate_limit for replica in self.list_usable(now_ms))
+        """Returns whether a usable upstream has a rate limit, its own or as cold."""
+        return any(replica.limits.is_limited() for replica in self.list_usable(now_ms))
 
     def get_limit_wait_ms(self, now_ms: float) -> float | None:
         """Returns the time in milliseconds until a rate limit allows a further send.
@@ -194,7 +238,8 @@
                 if is_available:
                     slow.append(replica)
                 continue
-            any_healthy = True
+            # The next token of a cold upstream may take longer than a slow exchange.
+            any_healthy = any_healthy or not replica.limits.waits_as_cold(now_ms)
             if is_available:
                 cost = replica.estimate_cost(slowness=slowness, domain=domain)
                 if cost < best_cost:
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -4,7 +4,7 @@
 
 from gooseberrymux import forward_exchange, journal
 from gooseberrymux.connections import Connection, Exchange
-from gooseberrymux.exchange import REASON_DEADLINE
+from gooseberrymux.exchange import REASON_CONNECT, REASON_DEADLINE
 from gooseberrymux.inventory import REASON_DOMAIN_EVACUATED, REASON_UPSTREAM_LEAVING
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.send_limits import SendLimits
@@ -40,6 +40,9 @@
 # traffic leaves the domain only if the upstream there does not keep pace.
 REMOTE_DOMAIN_COST = 0.5
 EJECTION_LIMIT_MS = 2_000.0
+# An upstream to which no connection could be opened may be restarting. It counts as
+# cold for about the time that its entry in the platform's list takes to say so.
+COLD_AFTER_CONNECT_FAILURE_MS = 2_500.0
 # Why this instance itself did not send a request.
 OWN_REASONS = frozenset(
     {REASON_DEADLINE, REASON_UPSTREAM_LEAVING, REASON_DOMAIN_EVACUATED}
@@ -67,6 +70,8 @@
         last_reply_ms: When the upstream last replied, in monotonic milliseconds.
         last_send_ms: When the last exchange started, in monotonic milliseconds.
         limits: What the upstream allows to be sent.
+        connect_failed_ms: When a connection to it could last not be opened, in
+            monotonic milliseconds.
     """
 
     __slots__ = (
@@ -77,6 +82,7 @@
         "last_reply_ms",
         "last_send_ms",
         "limits",
+        "connect_failed_ms",
     )
 
     def __init__(self, *, record: UpstreamRecord):
@@ -87,6 +93,7 @@
         self.last_reply_ms = 0.0
         self.last_send_ms = float("-inf")
         self.limits = SendLimits()
+        self.connect_failed_ms = float("-inf")
 
     def has_free_slot(self, limit: int) -> bool:
         """Returns whether the upstream could run another exchange.
@@ -133,6 +140,10 @@
             case _:
                 return False
 
+    def may_have_restarted(self, now_ms: float) -> bool:
+        """Returns whether a failed connection suggests that it has just restarted."""
+        return now_ms - self.connect_failed_ms < COLD_AFTER_CONNECT_FAILURE_MS
+
     def is_probe_due(self, now_ms: float, slowness: float) -> bool:
         """Returns whether the next request may probe if the upstream has recovered.
 
@@ -193,6 +204,8 @@
                 self.last_reply_ms = now_ms
                 if signals is not None:
                     self.limits.apply(signals, record=self.record, now_ms=now_ms)
+            case forward_exchange.NotSent(reason=reason) if reason == REASON_CONNECT:
+                self.connect_failed_ms = now_ms
         before = self.evidence.state
         observation = create_observation(exchange, result, latency, now_ms)
         self.evidence.observe(observation, now_ms)
