--- a/packages/gooseberrymux/src/gooseberrymux/canceller.py
+++ b/packages/gooseberrymux/src/gooseberrymux/canceller.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from gooseberrymux import journal
-from gooseberrymux.exchange import create_subrequest_connection
+from gooseberrymux.exchange import SendCheck, create_subrequest_connection
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
 
@@ -25,14 +25,15 @@
     Args:
         kernel: The kernel, which runs the thread.
         get_record: Returns the current record of the upstream.
-        may_cancel: Returns whether the sub-request with an id is still running and the
-            upstream may be asked to cancel it.
+        is_running: Returns whether the sub-request with an id is still running.
+        check_send: Returns the reason code for sending the upstream no cancel, or None.
     """
 
     __slots__ = (
         "_kernel",
         "_get_record",
-        "_may_cancel",
+        "_is_running",
+        "_check_send",
         "_queue",
         "_condition",
         "_is_thread_running",
@@ -44,11 +45,13 @@
         *,
         kernel: Kernel,
         get_record: Callable[[], UpstreamRecord],
-        may_cancel: Callable[[str], bool],
+        is_running: Callable[[str], bool],
+        check_send: SendCheck,
     ):
         self._kernel = kernel
         self._get_record = get_record
-        self._may_cancel = may_cancel
+        self._is_running = is_running
+        self._check_send = check_send
         self._queue: collections.deque[str] = collections.deque(maxlen=QUEUE_LIMIT)
         self._condition = threading.Condition()
         self._is_thread_running = False
@@ -75,7 +78,9 @@
 
     def _serve(self) -> None:
         connection = create_subrequest_connection(
-            record=self._get_record(), kernel=self._kernel
+            record=self._get_record(),
+            kernel=self._kernel,
+            check_send=self._check_send,
         )
         while (subrequest_id := self._dequeue()) is not None:
             if not connection.cancel(subrequest_id):
@@ -91,7 +96,7 @@
             while True:
                 while self._queue:
                     subrequest_id = self._queue.popleft()
-                    if self._may_cancel(subrequest_id):
+                    if self._is_running(subrequest_id):
                         return subrequest_id
                 woken = not self._closed and self._kernel.clock.wait(
                     self._condition, IDLE_TIMEOUT_MS
--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+from collections.abc import Callable
 
 import msgspec
 import urllib3
@@ -60,6 +61,18 @@
 _decoder = msgspec.json.Decoder(dict)
 
 
+# Returns the reason code for sending an upstream no request, or None.
+SendCheck = Callable[[UpstreamRecord], str | None]
+
+
+class SendObstacleError(Exception):
+    """A request was not written, as its upstream must get none; nothing was sent."""
+
+    def __init__(self, reason: str):
+        super().__init__(reason)
+        self.reason = reason
+
+
 class SubrequestConnection:
     """A keep-alive connection to one upstream, opened on demand.
 
@@ -76,6 +89,7 @@
         "signals",
         "_clock",
         "_reply_memory",
+        "_check_send",
         "_socket",
         "_host_header",
         "_bytes_written",
@@ -83,12 +97,19 @@
     )
 
     def __init__(
-        self, *, record: UpstreamRecord, clock: Clock, reply_memory: ReplyMemory
+        self,
+        *,
+        record: UpstreamRecord,
+        clock: Clock,
+        reply_memory: ReplyMemory,
+        check_send: SendCheck = lambda record: None,
     ):
         self.record = record
         self.signals: UpstreamSignals | None = None
         self._clock = clock
         self._reply_memory = reply_memory
+        # Called just before each request is written.
+        self._check_send = check_send
         self._socket: socket.socket | None = None
         self._host_header = f"Host: {record.host}:{record.port}\r\n"
         self._bytes_written = 0
@@ -124,6 +145,14 @@
         try:
             self._send_request(request, deadline_ms)
             status, decoded = self._read_response(deadline_ms)
+        except SendObstacleError as error:
+            self.close()
+            return SubrequestNotRun(
+                id=subrequest.id,
+                reason=error.reason,
+                step="upstream.send",
+                peer=self.record.name,
+            )
         except (OSError, ReplyError, urllib3.exceptions.HTTPError) as e:
             if not self._bytes_written and self._clock.now_ms() >= deadline_ms:
                 return self._close_with_failure(subrequest, REASON_DEADLINE)
@@ -141,6 +170,8 @@
         try:
             self._send_request(request, deadline_ms)
             self._read_response(deadline_ms)
+        except SendObstacleError:
+            return False
         except (OSError, ReplyError, urllib3.exceptions.HTTPError):
             self.close()
             return False
@@ -166,6 +197,8 @@
         try:
             self._send_request(request.encode("latin-1"), deadline_ms)
             _, decoded = self._read_response(deadline_ms)
+        except SendObstacleError as error:
+            return Err(error.reason)
         except (OSError, ReplyError, urllib3.exceptions.HTTPError) as error:
             self.close()
             return Err(classify_error(error))
@@ -232,6 +265,8 @@
         # `sendall` does not report how much it wrote before an error, whereas a first
         # `send` that raises has written nothing.
         assert self._socket is not None
+        if reason := self._check_send(self.record):
+            raise SendObstacleError(reason)
         set_timeout(self._socket, deadline_ms - self._clock.now_ms())
         self._bytes_written = self._socket.send(request)
         while self._bytes_written < len(request):
@@ -325,13 +360,14 @@
 
 
 def create_subrequest_connection(
-    *, record: UpstreamRecord, kernel: Kernel
+    *, record: UpstreamRecord, kernel: Kernel, check_send: SendCheck
 ) -> SubrequestConnection:
     """Returns a connection that uses the clock and the reply memory of an instance."""
     return SubrequestConnection(
         record=record,
         clock=kernel.clock,
         reply_memory=kernel.find("reply_memory", ReplyMemory),
+        check_send=check_send,
     )
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/orders.py
+++ b/packages/gooseberrymux/src/gooseberrymux/orders.py
@@ -338,7 +338,9 @@
             if remaining_ms <= 0:
                 return None
             connection = create_subrequest_connection(
-                record=replica, kernel=self._kernel
+                record=replica,
+                kernel=self._kernel,
+                check_send=self._inventory.find_obstacle,
             )
             lookup = connection.look_up_order(
                 entry.key, min(remaining_ms, LOOKUP_TIMEOUT_MS)
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -16,7 +16,7 @@
     SubrequestConnection,
     create_subrequest_connection,
 )
-from gooseberrymux.inventory import REASON_DOMAIN_EVACUATED, Inventory
+from gooseberrymux.inventory import REASON_UPSTREAM_LEAVING, Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.messages import (
     Subrequest,
@@ -180,7 +180,8 @@
         self._canceller = Canceller(
             kernel=kernel,
             get_record=lambda: self.record,
-            may_cancel=self._may_cancel,
+            is_running=lambda subrequest_id: subrequest_id in self._running,
+            check_send=self._find_cancel_obstacle,
         )
 
     def start(self) -> None:
@@ -296,21 +297,19 @@
     def _connection_limit(self) -> int:
         return max(1, min(self.record.slots, self.record.connections))
 
-    def _may_cancel(self, subrequest_id: str) -> bool:
-        """Returns whether to ask the upstream to cancel a sub-request.
+    def _find_cancel_obstacle(self, record: UpstreamRecord) -> str | None:
+        """Returns the reason code for sending an upstream no cancel, or None.
 
-        A cancel is a request too, so an evacuated domain gets none.
+        A cancel frees a slot of an upstream that is leaving, so that one still gets it.
         """
-        obstacle = self._inventory.find_obstacle(self.record)
-        return subrequest_id in self._running and obstacle != REASON_DOMAIN_EVACUATED
+        reason = self._inventory.find_obstacle(record)
+        return None if reason == REASON_UPSTREAM_LEAVING else reason
 
     def _run_worker(self, worker_index: int) -> None:
-        connection = create_subrequest_connection(
-            record=self.record, kernel=self._kernel
-        )
+        connection = self._create_connection()
         while (item := self._dequeue(worker_index)) is not None:
             if connection.record is not self.record:
-                connection = update_connection(connection, self.record, self._kernel)
+                connection = self._update_connection(connection)
             outcome = self._run_item(connection, item)
             item.on_outcome(self._finish_item(item, outcome))
             with self._lock:
@@ -324,6 +323,28 @@
             self._canceller.close()
             self._on_closed(self)
 
+    def _update_connection(
+        self, connection: SubrequestConnection
+    ) -> SubrequestConnection:
+        """Returns a connection for the pool's record, which has changed.
+
+        The given connection is kept if the address and the epoch are unchanged, and
+        closed otherwise.
+        """
+        old, record = connection.record, self.record
+        if (old.host, old.port, old.epoch) == (record.host, record.port, record.epoch):
+            connection.record = record
+            return connection
+        connection.close()
+        return self._create_connection()
+
+    def _create_connection(self) -> SubrequestConnection:
+        return create_subrequest_connection(
+            record=self.record,
+            kernel=self._kernel,
+            check_send=self._inventory.find_obstacle,
+        )
+
     def _dequeue(self, worker_index: int) -> QueuedItem | None:
         with self._lock:
             while True:
@@ -463,22 +484,6 @@
                 return False
 
 
-def update_connection(
-    connection: SubrequestConnection, record: UpstreamRecord, kernel: Kernel
-) -> SubrequestConnection:
-    """Returns a connection for a changed record.
-
-    The given connection is kept if the address and the epoch are unchanged, and closed
-    otherwise.
-    """
-    old = connection.record
-    if (old.host, old.port, old.epoch) == (record.host, record.port, record.epoch):
-        connection.record = record
-        return connection
-    connection.close()
-    return create_subrequest_connection(record=record, kernel=kernel)
-
-
 def create_not_run(
     subrequest: Subrequest, reason: str, peer: str, queue_wait_ms: float = 0.0
 ) -> SubrequestNotRun:
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -78,6 +78,26 @@
             upstream.close()
 
 
+def test_an_evacuation_while_the_connection_opens_keeps_the_request_back(
+    start_upstream,
+):
+    # Guards against a request in the query path that is written after the evacuation.
+    upstream = start_upstream(lambda connection: None)
+    connection = SubrequestConnection(
+        record=upstream.describe("u"),
+        clock=CLOCK,
+        reply_memory=MEMORY,
+        check_send=lambda record: "domain_evacuated",
+    )
+    outcome = run_subrequest(upstream, connection=connection)
+    assert isinstance(outcome, SubrequestNotRun)
+    assert outcome.reason == "domain_evacuated"
+    assert not connection.cancel("s-1")
+    assert connection.look_up_order("k", 100.0) == Err("domain_evacuated")
+    assert upstream.requests == []
+    connection.close()
+
+
 @pytest.mark.parametrize(
     "fault",
     [EndlessInterimReplies(status=100), EndlessHead(), EndlessBody()],
