--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -5,6 +5,7 @@
 
 from gooseberrymux import metrics
 from gooseberrymux.departures import SOURCE_UPSTREAM, Departures
+from gooseberrymux.evacuations import EvacuationsChanged
 from gooseberrymux.forward_exchange import encode_head
 from gooseberrymux.forward_messages import (
     AttemptGranted,
@@ -70,6 +71,7 @@
             latencies=RouteLatencies(),
             reply_memory=kernel.find("reply_memory", ReplyMemory),
             get_connection_limit=self._get_connection_limit,
+            get_cold_rate=self._get_cold_rate,
             report_leaving=self._report_leaving,
         )
         self._pools: dict[str, Pool] = {}
@@ -81,6 +83,7 @@
         self._peers.register(CancelForward, self._handle_cancel)
         self._peers.register(AttemptGranted, self._handle_attempt)
         kernel.subscribe(LeaveStarted, self._handle_leave)
+        kernel.subscribe(EvacuationsChanged, self._handle_evacuations)
 
     def start(self) -> None:
         """Does nothing: a pool is created with the first request of its service."""
@@ -185,6 +188,10 @@
         table = self._routes.get_current()
         return table.connections.get(service_name) if table else None
 
+    def _get_cold_rate(self, service_name: str) -> float:
+        table = self._routes.get_current()
+        return table.cold_rates_per_s.get(service_name, 0.0) if table else 0.0
+
     def _report_leaving(self, record: UpstreamRecord) -> None:
         self._departures.report_leaving(
             upstream=record.name, epoch=record.epoch, source=SOURCE_UPSTREAM
@@ -208,6 +215,10 @@
         for pool in list(self._pools.values()):
             pool.reject_forwarded()
 
+    def _handle_evacuations(self, event: EvacuationsChanged) -> None:
+        for pool in list(self._pools.values()):
+            pool.apply_evacuations()
+
     def _handle_call(self, sender: InstanceIdentity, message: object) -> None:
         assert isinstance(message, ForwardCall)
 
--- a/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/worker_pool.py
@@ -16,6 +16,7 @@
     SubrequestConnection,
     create_subrequest_connection,
 )
+from gooseberrymux.inventory import REASON_UPSTREAM_LEAVING, Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.messages import (
     Subrequest,
@@ -31,7 +32,6 @@
 REASON_QUEUE_FULL = "queue_full"
 REASON_CANCELLED = "cancelled"
 REASON_LEAVING = "instance_leaving"
-REASON_UPSTREAM_LEAVING = "upstream_leaving"
 # Reason that a draining upstream gives in its reply when it refuses a request.
 REASON_DRAINING = "draining"
 REASON_UNKNOWN_UPSTREAM = "unknown_upstream"
@@ -126,6 +126,7 @@
         "record",
         "_kernel",
         "_departures",
+        "_inventory",
         "_queue",
         "_refusal_policy",
         "_lock",
@@ -148,12 +149,14 @@
         kernel: Kernel,
         record: UpstreamRecord,
         departures: Departures,
+        inventory: Inventory,
         on_closed: Callable[["UpstreamWorkerPool"], None],
     ):
         settings = kernel.settings
         self.record = record
         self._kernel = kernel
         self._departures = departures
+        self._inventory = inventory
         self._on_closed = on_closed
         self._refusal_policy: RefusalPolicy = (
             EarlyRefusal() if settings.policy.early_refusal else LateRefusal()
@@ -178,6 +181,7 @@
             kernel=kernel,
             get_record=lambda: self.record,
             is_running=lambda subrequest_id: subrequest_id in self._running,
+            check_send=self._find_cancel_obstacle,
         )
 
     def start(self) -> None:
@@ -293,13 +297,19 @@
     def _connection_limit(self) -> int:
         return max(1, min(self.record.slots, self.record.connections))
 
+    def _find_cancel_obstacle(self, record: UpstreamRecord) -> str | None:
+        """Returns the reason code for sending an upstream no cancel, or None.
+
+        A cancel frees a slot of an upstream that is leaving, so that one still gets it.
+        """
+        reason = self._inventory.find_obstacle(record)
+        return None if reason == REASON_UPSTREAM_LEAVING else reason
+
     def _run_worker(self, worker_index: int) -> None:
-        connection = create_subrequest_connection(
-            record=self.record, kernel=self._kernel
-        )
+        connection = self._create_connection()
         while (item := self._dequeue(worker_index)) is not None:
             if connection.record is not self.record:
-                connection = update_connection(connection, self.record, self._kernel)
+                connection = self._update_connection(connection)
             outcome = self._run_item(connection, item)
             item.on_outcome(self._finish_item(item, outcome))
             with self._lock:
@@ -313,6 +323,28 @@
             self._canceller.close()
             self._on_closed(self)
 
+    def _update_connection(
+        self, connection: SubrequestConnection
+    ) -> SubrequestConnection:
+        """Returns a connection for the pool's record, which has changed.
+
+        The given connection is kept if the address and the epoch are unchanged, and
+        closed otherwise.
+        """
+        old, record = connection.record, self.record
+        if (old.host, old.port, old.epoch) == (record.host, record.port, record.epoch):
+            connection.record = record
+            return connection
+        connection.close()
+        return self._create_connection()
+
+    def _create_connection(self) -> SubrequestConnection:
+        return create_subrequest_connection(
+            record=self.record,
+            kernel=self._kernel,
+            check_send=self._inventory.find_obstacle,
+        )
+
     def _dequeue(self, worker_index: int) -> QueuedItem | None:
         with self._lock:
             while True:
@@ -354,8 +386,8 @@
         if self._kernel.clock.now_ms() >= item.deadline_ms:
             return create_not_run(item.subrequest, REASON_DEADLINE, self.record.name)
         record = connection.record
-        if self._departures.is_leaving(record.name, record.epoch):
-            return create_not_run(item.subrequest, REASON_UPSTREAM_LEAVING, record.name)
+        if reason := self._inventory.find_obstacle(record):
+            return create_not_run(item.subrequest, reason, record.name)
         try:
             outcome = connection.run(item.subrequest, item.deadline_ms)
             self._apply_signals(connection, outcome)
@@ -452,22 +484,6 @@
                 return False
 
 
-def update_connection(
-    connection: SubrequestConnection, record: UpstreamRecord, kernel: Kernel
-) -> SubrequestConnection:
-    """Returns a connection for a changed record.
-
-    The given connection is kept if the address and the epoch are unchanged, and closed
-    otherwise.
-    """
-    old = connection.record
-    if (old.host, old.port, old.epoch) == (record.host, record.port, record.epoch):
-        connection.record = record
-        return connection
-    connection.close()
-    return create_subrequest_connection(record=record, kernel=kernel)
-
-
 def create_not_run(
     subrequest: Subrequest, reason: str, peer: str, queue_wait_ms: float = 0.0
 ) -> SubrequestNotRun:
