--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -143,6 +143,21 @@
     ),
     labels=("cause", "outcome"),
 )
+domain_sends_total = BufferedCounter(
+    counter=Counter(
+        "gooseberrymux_domain_sends_total",
+        "Forwarded requests sent to upstreams, by failure domain (home or remote, seen "
+        "from this owner) and cause.",
+    ),
+    labels=("domain", "cause"),
+)
+spillover_share = SampledGauge(
+    gauge=Gauge(
+        "gooseberrymux_spillover_share",
+        "Share of a service's requests that may leave this owner's failure domain.",
+    ),
+    label="service",
+)
 upstream_connections_total = Counter(
     "gooseberrymux_upstream_connections_total", "Connections opened to upstreams."
 )
@@ -159,5 +174,7 @@
         accept: The `Accept` header of the scrape; empty selects the default format.
     """
     sends_total.flush()
+    domain_sends_total.flush()
     proof_age_ms.sample()
+    spillover_share.sample()
     return render(REGISTRY, [accept] if accept else [])
--- a/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
@@ -1,6 +1,8 @@
 """State of one forwarded request at the owner of its service, until its outcome."""
 
 import dataclasses
+import heapq
+import itertools
 from collections.abc import Callable
 
 from gooseberrymux.connections import Connection, Exchange
@@ -47,6 +49,8 @@
             answered.
         awaits_retry: Whether the request is sent again once the entry has answered.
         send_count: Number of exchanges started so far.
+        kept_until_ms: Until when the first send may wait for the owner's failure domain
+            (`spillover`).
         first_send_ms: When the first exchange started.
         retry_rounds: How often all upstreams became eligible again.
         may_have_run: Whether an upstream may have run the request.
@@ -71,6 +75,7 @@
         "is_attempt_requested",
         "awaits_retry",
         "send_count",
+        "kept_until_ms",
         "first_send_ms",
         "retry_rounds",
         "may_have_run",
@@ -105,6 +110,7 @@
         self.is_attempt_requested = False
         self.awaits_retry = False
         self.send_count = 0
+        self.kept_until_ms = float("-inf")
         self.first_send_ms: float | None = None
         self.retry_rounds = 0
         self.may_have_run = call.dispatched_before
@@ -112,6 +118,16 @@
         self.last_failure = REASON_NO_REPLICA
         self.error_reply: PartReplied | None = None
 
+    def is_kept(self, now_ms: float) -> bool:
+        """Returns whether the request may still wait for the owner's domain."""
+        return self.first_send_ms is None and now_ms < self.kept_until_ms
+
+    @property
+    def latest_end_ms(self) -> float:
+        """When an exchange must end for the latency target, and for the deadline."""
+        target_at_ms = self.arrived_ms + self.call.target_ms - ANSWER_RESERVE_MS
+        return min(target_at_ms, self.deadline_ms)
+
     @property
     def may_run_again(self) -> bool:
         """Whether an attempt is left, or will be once the entry allows it."""
@@ -129,6 +145,34 @@
         return now_ms + self.latency.median_ms <= target_at_ms
 
 
+class KeptRequests:
+    """Queued requests of one service in the order in which they must leave.
+
+    Not thread-safe: the pool holds its lock around each call. Requests that were sent
+    or settled are dropped when they come first.
+    """
+
+    __slots__ = ("_heap", "_counter")
+
+    def __init__(self):
+        self._heap: list[tuple[float, int, PendingRequest]] = []
+        self._counter = itertools.count()
+
+    def add(self, request: PendingRequest) -> None:
+        """Adds a request that was queued."""
+        entry = (request.kept_until_ms, next(self._counter), request)
+        heapq.heappush(self._heap, entry)
+
+    def get_first_end_ms(self) -> float:
+        """Returns the earliest `kept_until_ms` of a request; infinity without one."""
+        while self._heap:
+            until_ms, _, request = self._heap[0]
+            if request.first_send_ms is None and not request.settled:
+                return until_ms
+            heapq.heappop(self._heap)
+        return float("inf")
+
+
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class PoolExchange(Exchange):
     """An exchange of a pending request, with the upstream and connection in use.
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -27,6 +27,7 @@
 from gooseberrymux.pending_requests import (
     REASON_NO_REPLICA,
     AttemptCallback,
+    KeptRequests,
     OutcomeCallback,
     PendingRequest,
     PoolExchange,
@@ -38,6 +39,7 @@
 from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.route_latencies import RouteLatencies
 from gooseberrymux.schedule import RANKS, RankQueue, create_scheduling_policy
+from gooseberrymux.spillover import Demand
 from gooseberrymux.timers import Timers
 
 REASON_QUEUE_FULL = "queue_full"
@@ -109,6 +111,8 @@
         "_budget",
         "_capacity",
         "_limit_ends_ms",
+        "_kept",
+        "_keep_ends_ms",
         "_requests",
         "_outbox",
     )
@@ -134,6 +138,9 @@
         self._capacity = ServiceCapacity(replicas=self._replicas, policy=policy)
         # When the timer is due that dispatches what waits for a rate limit.
         self._limit_ends_ms = float("inf")
+        self._kept = KeptRequests()
+        # When the timer is due that dispatches what is no longer kept at home.
+        self._keep_ends_ms = float("inf")
         # Requests to be sent again go before those in `_queue`, which were never sent.
         self._resend_queue: list[PendingRequest] = []
         self._budget = SlidingWindowBudget(
@@ -151,12 +158,18 @@
         """Number of requests without an outcome."""
         return len(self._requests)
 
+    @property
+    def spillover_share(self) -> float:
+        """Share of the requests that may leave this failure domain."""
+        return self._replicas.spillover.share
+
     def describe(self) -> dict:
         """Returns the state of the queue and the upstreams for the status."""
         with self._lock:
             return {
                 "pending": self.pending,
                 "queued": len(self._queue),
+                "spillover_share": self.spillover_share,
                 "upstreams": self._replicas.describe(self._clock.now_ms()),
             }
 
@@ -169,6 +182,7 @@
                 self._budget.record_first_send(now_ms)
             self._replicas.refresh()
             self._capacity.record_arrival(request, now_ms)
+            self._start_keeping(request, now_ms)
             has_waiting = self._resend_queue or len(self._queue)
             in_time = now_ms + request.latency.median_ms <= request.deadline_ms
             if self._capacity.is_exceeded_by(request, now_ms):
@@ -180,7 +194,8 @@
             ):
                 return
             elif reason := self._try_enqueue(request, now_ms):
-                self._fail_request(request, reason)
+                if not (in_time and self._send_anywhere(request, now_ms)):
+                    self._fail_request(request, reason)
             else:
                 self._dispatch(now_ms)
         self._deliver_outcomes()
@@ -252,8 +267,24 @@
             return REASON_DEADLINE
         if not self._queue.enqueue(request.call.rank, request):
             return REASON_QUEUE_FULL
+        if self._replicas.spillover.is_adaptive:
+            self._kept.add(request)
         return None
 
+    def _start_keeping(self, request: PendingRequest, now_ms: float) -> None:
+        """Decides until when a new request may wait for this failure domain."""
+        if not self._replicas.spillover.is_adaptive:
+            return
+        is_backlog = self._kept.get_first_end_ms() <= now_ms
+        demand = Demand(
+            waiting=len(self._queue) if is_backlog else 0,
+            median_ms=request.latency.median_ms,
+            p95_ms=request.latency.p95_ms,
+            latest_ms=request.latest_end_ms,
+            size_bytes=len(request.head) + len(request.call.body),
+        )
+        request.kept_until_ms = self._replicas.record_arrival(demand, now_ms)
+
     def _estimate_wait_ms(self, request: PendingRequest, now_ms: float) -> float:
         prefer = prefer_on_time(now_ms) if request.can_be_on_time(now_ms) else None
         ahead = self._queue.estimate_dispatches_ahead(request.call.rank, prefer) + len(
@@ -287,7 +318,11 @@
             self._schedule_dispatch(now_ms)
 
     def _schedule_dispatch(self, now_ms: float) -> None:
-        """Dispatches again when a rate limit allows a further send."""
+        """Dispatches again when a rate limit or spillover allows a further send."""
+        keep_ends_ms = self._kept.get_first_end_ms()
+        if now_ms < keep_ends_ms < self._keep_ends_ms:
+            self._keep_ends_ms = keep_ends_ms
+            self._dependencies.timers.call_at(keep_ends_ms, self._handle_keep_end)
         wait_ms = self._replicas.get_limit_wait_ms(now_ms)
         if wait_ms is not None and now_ms + wait_ms < self._limit_ends_ms:
             self._limit_ends_ms = now_ms + wait_ms
@@ -301,6 +336,12 @@
             self._dispatch(self._clock.now_ms())
         self._deliver_outcomes()
 
+    def _handle_keep_end(self) -> None:
+        with self._lock:
+            self._keep_ends_ms = float("inf")
+            self._dispatch(self._clock.now_ms())
+        self._deliver_outcomes()
+
     def _try_resend(self, request: PendingRequest, now_ms: float) -> bool:
         """Sends or fails a request that waits to be sent again; False if it stays."""
         if now_ms >= request.deadline_ms:
@@ -316,6 +357,13 @@
         self._send(request, replica, cause, now_ms)
         return True
 
+    def _send_anywhere(self, request: PendingRequest, now_ms: float) -> bool:
+        """Sends a request that would be refused, if a slot is kept free elsewhere."""
+        if not self._replicas.spillover.is_adaptive:
+            return False
+        request.kept_until_ms = now_ms
+        return self._send_to_best(request, CAUSE_FIRST, now_ms)
+
     def _choose_upstream(
         self, request: PendingRequest | None, now_ms: float
     ) -> Replica | None:
@@ -328,6 +376,9 @@
             may_probe=request is not None and request.call.repeatable,
             now_ms=now_ms,
             wait_medians=wait_medians,
+            is_kept=request.is_kept(now_ms)
+            if request
+            else now_ms < self._kept.get_first_end_ms(),
         )
 
     def _send(
@@ -355,6 +406,7 @@
         request.tried_upstreams.add(replica.record.name)
         request.send_count += 1
         request.attempts_left -= 1
+        self._replicas.record_send(replica, cause, is_first=request.send_count == 1)
         if request.first_send_ms is None:
             request.first_send_ms = now_ms
         replica.start_exchange(exchange, latency, now_ms)
@@ -492,6 +544,9 @@
                     queued_ms=(request.first_send_ms or now_ms) - request.arrived_ms,
                     upstream_ms=elapsed_ms,
                 )
+                self._replicas.spillover.record_size(
+                    len(request.head) + len(request.call.body), len(reply.body)
+                )
                 if not reply.is_server_error:
                     self._dependencies.latencies.record(
                         route=request.call.route, duration_ms=elapsed_ms
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -81,6 +81,8 @@
         self._peers.register(CancelForward, self._handle_cancel)
         self._peers.register(AttemptGranted, self._handle_attempt)
         kernel.subscribe(LeaveStarted, self._handle_leave)
+        if kernel.settings.forwarding.spillover == "adaptive":
+            metrics.spillover_share.read_from(self._list_shares)
 
     def start(self) -> None:
         """Does nothing: a pool is created with the first request of its service."""
@@ -181,6 +183,10 @@
         )
         return collector.collect
 
+    def _list_shares(self) -> dict[str, float]:
+        pools = list(self._pools.items())
+        return {name: pool.spillover_share for name, pool in pools}
+
     def _get_connection_limit(self, service_name: str) -> int | None:
         table = self._routes.get_current()
         return table.connections.get(service_name) if table else None
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -2,20 +2,37 @@
 
 from collections.abc import Callable, Collection
 
+from gooseberrymux import metrics
 from gooseberrymux.connections import Connection, ResultHandler
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.replicas import REASON_UPSTREAM_LEAVING, SLOW_FACTOR, Replica
 from gooseberrymux.reply_memory import ReplyMemory
+from gooseberrymux.spillover import (
+    CLEAR_DIFFERENCE,
+    REMOTE_DOMAIN_COST,
+    Demand,
+    DomainLoad,
+    Spillover,
+    create_spillover_policy,
+)
 
 UNLIMITED_CONNECTIONS = 1 << 16
+DOMAIN_HOME = "home"
+DOMAIN_REMOTE = "remote"
+
+# An upstream with a free slot, after its cost in medians.
+Option = tuple[float, Replica]
 
 
 class ReplicaSet:
     """Tracks the platform's list of upstreams and chooses one for each request.
 
     Not thread-safe: the pool holds its lock around each call.
+
+    Attributes:
+        spillover: Decides which requests may leave this instance's failure domain.
     """
 
     __slots__ = (
@@ -24,9 +41,11 @@
         "_inventory",
         "_reply_memory",
         "_get_connection_limit",
+        "_domain",
         "_records",
         "_replicas",
         "_opened_count",
+        "spillover",
     )
 
     def __init__(
@@ -43,6 +62,11 @@
         self._inventory = inventory
         self._reply_memory = reply_memory
         self._get_connection_limit = get_connection_limit
+        self._domain = kernel.settings.instance.failure_domain
+        self.spillover = Spillover(
+            service=service,
+            policy=create_spillover_policy(kernel.settings.forwarding),
+        )
         self._records: tuple[UpstreamRecord, ...] = ()
         self._replicas: dict[str, Replica] = {}
         self._opened_count = 0
@@ -155,6 +179,7 @@
         may_probe: bool,
         now_ms: float,
         wait_medians: float = 0.0,
+        is_kept: bool = False,
     ) -> Replica | None:
         """Returns the best upstream with a free slot, or None if the request must wait.
 
@@ -164,14 +189,16 @@
             now_ms: Monotonic time in milliseconds.
             wait_medians: Expected wait for an upstream that is not slow, in median
                 exchange times.
+            is_kept: Whether the request may still wait for an upstream in this failure
+                domain, if there is a healthy one and spillover says so.
         """
         connection_limit = self._connection_limit
-        domain = self._kernel.settings.instance.failure_domain
-        best: Replica | None = None
-        best_cost = float("inf")
+        crossing_cost = self.spillover.crossing_cost
+        free: list[Option] = []
         slow: list[Replica] = []
         stalled: list[Replica] = []
         any_healthy = False
+        any_healthy_home = False
         for replica in self.list_usable(now_ms, tried):
             is_available = replica.has_free_slot(
                 connection_limit
@@ -188,12 +215,15 @@
                     slow.append(replica)
                 continue
             any_healthy = True
+            is_home = self._is_home(replica)
+            any_healthy_home = any_healthy_home or is_home
             if is_available:
-                cost = replica.estimate_cost(slowness=slowness, domain=domain)
-                if cost < best_cost:
-                    best, best_cost = replica, cost
-        if best is not None:
-            return best
+                cost = replica.estimate_cost(
+                    slowness=slowness, crossing_cost=0.0 if is_home else crossing_cost
+                )
+                free.append((cost, replica))
+        if free:
+            return self._choose_free(free, is_kept=is_kept and any_healthy_home)
         if not slow:
             # A long exchange can't be told from a pause. The only usable upstream gets
             # work although it seems stalled, as there is no other to wait for.
@@ -205,6 +235,73 @@
             return None
         return fastest
 
+    def _choose_free(self, free: list[Option], *, is_kept: bool) -> Replica | None:
+        """Returns the cheapest free upstream that spillover allows, None to wait.
+
+        Args:
+            free: Healthy upstreams with a free slot, at least one, and their costs.
+            is_kept: Whether the request may wait for this failure domain.
+        """
+        spillover = self.spillover
+        if not spillover.is_adaptive:
+            return min(free, key=get_cost)[1]
+        home = [option for option in free if self._is_home(option[1])]
+        with_room = [
+            option
+            for option in free
+            if not spillover.is_short(option[1].record.failure_domain)
+        ]
+        if not is_kept:
+            # A free slot in a domain that is short is better than being late.
+            allowed = with_room or free
+        elif spillover.may_leave or (home and is_clearly_better(with_room, home)):
+            allowed = with_room
+        else:
+            allowed = home
+        return min(allowed, key=get_cost)[1] if allowed else None
+
+    def _is_home(self, replica: Replica) -> bool:
+        return replica.record.failure_domain == self._domain
+
+    def record_arrival(self, demand: Demand, now_ms: float) -> float:
+        """Updates spillover; returns until when the new request is kept at home.
+
+        The result is not above `now_ms` if the request may leave at once.
+        """
+        if not self.spillover.is_adaptive:
+            return now_ms
+        loads = self._measure_domains(now_ms)
+        home = loads.pop(self._domain, None)
+        return self.spillover.record_arrival(
+            demand, home=home, remote=loads, now_ms=now_ms
+        )
+
+    def record_send(self, replica: Replica, cause: str, *, is_first: bool) -> None:
+        """Counts a send by the failure domain that it goes to.
+
+        Args:
+            replica: The upstream.
+            cause: Why the request is sent, for the metrics.
+            is_first: Whether spillover counts it towards the share.
+        """
+        is_home = self._is_home(replica)
+        metrics.domain_sends_total.increment(
+            DOMAIN_HOME if is_home else DOMAIN_REMOTE, cause
+        )
+        if is_first and not is_home:
+            self.spillover.record_leave()
+
+    def _measure_domains(self, now_ms: float) -> dict[str, DomainLoad]:
+        """Returns the load of each failure domain that has a usable upstream."""
+        by_domain: dict[str, list[Replica]] = {}
+        for replica in self.list_usable(now_ms):
+            by_domain.setdefault(replica.record.failure_domain, []).append(replica)
+        limit = self._connection_limit
+        return {
+            domain: measure_load(replicas, limit, now_ms)
+            for domain, replicas in by_domain.items()
+        }
+
     def acquire_connection(
         self,
         replica: Replica,
@@ -268,3 +365,42 @@
 def is_same_run(one: UpstreamRecord, other: UpstreamRecord) -> bool:
     """Returns whether two records have the same epoch and address, so the same run."""
     return (one.epoch, one.host, one.port) == (other.epoch, other.host, other.port)
+
+
+def get_cost(option: Option) -> float:
+    """Returns the cost of an option."""
+    return option[0]
+
+
+def is_clearly_better(options: list[Option], home: list[Option]) -> bool:
+    """Returns whether the evidence alone is reason enough not to use the home domain.
+
+    Args:
+        options: All options, those at home among them.
+        home: The options at home, at least one.
+    """
+    best, best_at_home = min(options, key=get_cost), min(home, key=get_cost)
+    # The cost of a remote upstream contains that of crossing, at least 0.5.
+    return best[0] + CLEAR_DIFFERENCE - REMOTE_DOMAIN_COST < best_at_home[0]
+
+
+def measure_load(replicas: list[Replica], limit: int, now_ms: float) -> DomainLoad:
+    """Returns the load of a failure domain's usable upstreams.
+
+    Args:
+        replicas: The upstreams, at least one.
+        limit: Connections that each of them accepts.
+        now_ms: Monotonic time in milliseconds.
+    """
+    slots, busy = 0, 0.0
+    best = best_unfit = float("inf")
+    for replica in replicas:
+        slowness = replica.get_slowness(now_ms)
+        duration = replica.estimate_duration(slowness)
+        if slowness > SLOW_FACTOR or replica.is_stalled(now_ms):
+            best_unfit = min(best_unfit, duration)
+        else:
+            slots += min(replica.record.slots, limit)
+            busy += len(replica.in_flight)
+            best = min(best, duration)
+    return DomainLoad(slots=slots, busy=busy, duration=best if slots else best_unfit)
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -34,10 +34,6 @@
 # Relative cost added to an upstream whose slots are all busy, in proportion for fewer;
 # of two upstreams that are otherwise equal, the less loaded one is preferred.
 IN_FLIGHT_WEIGHT = 0.3
-# Cost added to an upstream in another failure domain, in median exchange times. It
-# exceeds the usual differences between upstreams and the cost of one busy slot, so that
-# traffic leaves the domain only if the upstream there does not keep pace.
-REMOTE_DOMAIN_COST = 0.5
 EJECTION_LIMIT_MS = 2_000.0
 REASON_UPSTREAM_LEAVING = "upstream_leaving"
 # Why this instance itself did not send a request.
@@ -151,17 +147,23 @@
             record=self.record, neutral_ms=1.0, now_ms=now_ms
         )
 
-    def estimate_cost(self, *, slowness: float, domain: str) -> float:
+    def estimate_duration(self, slowness: float) -> float:
+        """Returns the expected duration of an exchange, with what a cold start adds.
+
+        Args:
+            slowness: Result of `get_slowness` for the current time.
+        """
+        return slowness * (COLD_FACTOR if self.record.cold else 1.0)
+
+    def estimate_cost(self, *, slowness: float, crossing_cost: float) -> float:
         """Returns the cost of sending an exchange here, in medians of its route.
 
         Args:
             slowness: Result of `get_slowness` for the current time.
-            domain: The owner's failure domain.
+            crossing_cost: Cost of leaving the owner's failure domain; 0 within it.
         """
-        cold = COLD_FACTOR if self.record.cold else 1.0
         busy = IN_FLIGHT_WEIGHT * len(self.in_flight) / self.record.slots
-        far = 0.0 if self.record.failure_domain == domain else REMOTE_DOMAIN_COST
-        return slowness * cold * (1.0 + busy) + far
+        return self.estimate_duration(slowness) * (1.0 + busy) + crossing_cost
 
     def start_exchange(
         self, exchange: Exchange, latency: LatencyEstimate, now_ms: float
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -224,13 +224,28 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardingSettings:
-    """Limits of extra sends, owners and queues of forwarded requests."""
+    """Limits of extra sends, owners and queues of forwarded requests.
+
+    Attributes:
+        extra_share: Extra sends for each first send.
+        extra_slack: Extra sends beyond that share in each window.
+        extra_window_s: The window in seconds.
+        owners: Most instances that own services.
+        queue_limit: Queued requests of each rank at a service.
+        spillover: Who may leave the owner's failure domain: any request without a free
+            slot there (`fixed`), or as many as pay off (`adaptive`).
+        crossing_ms: What an exchange with another failure domain costs, in ms.
+        crossing_ms_per_kb: What each KB of it costs, in ms.
+    """
 
     extra_share: Share = 0.2
     extra_slack: Annotated[float, Meta(ge=0)] = 54.0
     extra_window_s: Annotated[float, Meta(gt=0)] = 10.0
     owners: Count = 16
     queue_limit: Count = 256
+    spillover: Literal["fixed", "adaptive"] = "fixed"
+    crossing_ms: Annotated[float, Meta(ge=0)] = 3.0
+    crossing_ms_per_kb: Annotated[float, Meta(ge=0)] = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
