--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -401,6 +401,6 @@
             best_unfit = min(best_unfit, duration)
         else:
             slots += min(replica.record.slots, limit)
-            busy += len(replica.in_flight)
+            busy += replica.count_occupants(now_ms)
             best = min(best, duration)
     return DomainLoad(slots=slots, busy=busy, duration=best if slots else best_unfit)
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -6,6 +6,7 @@
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.exchange import REASON_DEADLINE
 from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.reported_load import LoadReports
 from gooseberrymux.send_limits import SendLimits
 from gooseberrymux.upstream_health import (
     SERVING,
@@ -19,6 +20,7 @@
     Shed,
     UpstreamHealth,
 )
+from gooseberrymux.upstream_signals import ReportedLoad
 
 # An upstream counts as stalled if an exchange has lasted this many times the 95th
 # percentile of its route and no reply came from the upstream since the exchange began:
@@ -61,6 +63,7 @@
         last_reply_ms: When the upstream last replied, in monotonic milliseconds.
         last_send_ms: When the last exchange started, in monotonic milliseconds.
         limits: What the upstream allows to be sent.
+        reports: The load that it reports; None until it reports one.
     """
 
     __slots__ = (
@@ -71,6 +74,7 @@
         "last_reply_ms",
         "last_send_ms",
         "limits",
+        "reports",
     )
 
     def __init__(self, *, record: UpstreamRecord):
@@ -81,6 +85,7 @@
         self.last_reply_ms = 0.0
         self.last_send_ms = float("-inf")
         self.limits = SendLimits()
+        self.reports: LoadReports | None = None
 
     def has_free_slot(self, limit: int) -> bool:
         """Returns whether the upstream could run another exchange.
@@ -143,9 +148,19 @@
 
     def get_slowness(self, now_ms: float) -> float:
         """Returns the expected duration of an exchange, in medians of its route."""
-        return self.evidence.estimate_response_ms(
+        slowness = self.evidence.estimate_response_ms(
             record=self.record, neutral_ms=1.0, now_ms=now_ms
         )
+        if self.reports is None:
+            return slowness
+        return self.reports.estimate_duration(
+            slowness, own_count=len(self.in_flight), now_ms=now_ms
+        )
+
+    def count_occupants(self, now_ms: float) -> float:
+        """Returns the exchanges in flight, and what others have there if it reports."""
+        foreign = self.reports.count_foreign(now_ms) if self.reports else 0.0
+        return len(self.in_flight) + foreign
 
     def estimate_duration(self, slowness: float) -> float:
         """Returns the expected duration of an exchange, with what a cold start adds.
@@ -193,6 +208,7 @@
                 self.last_reply_ms = now_ms
                 if signals is not None:
                     self.limits.apply(signals, record=self.record, now_ms=now_ms)
+                    self._apply_load(signals.load, now_ms)
         before = self.evidence.state
         observation = create_observation(exchange, result, latency, now_ms)
         self.evidence.observe(observation, now_ms)
@@ -217,6 +233,15 @@
                 self.evidence.state = SERVING
         self._record_change(type(before).__name__, observation, exchange)
 
+    def _apply_load(self, load: ReportedLoad | None, now_ms: float) -> None:
+        if load is None:
+            return
+        if self.reports is None:
+            self.reports = LoadReports()
+        # The exchange that ended was removed already.
+        own_count = len(self.in_flight) + 1
+        self.reports.apply(load, own_count=own_count, now_ms=now_ms)
+
     def _record_change(
         self, before: str, observation: Observation, exchange: Exchange
     ) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -188,6 +188,8 @@
         not_run: Present if the upstream did not run the request.
         rate_limit: Requests a second that the upstream takes from all instances.
         leaving: `1` or `true` if the upstream leaves and wants no new requests.
+        load: Requests running and waiting at the upstream, its slots, and optionally
+            its processing time in percent of the usual, separated by commas.
         part_proofs: Proofs of the replies that were merged into an answer.
         missing_parts: Number of shards that a merged answer leaves out.
     """
@@ -200,6 +202,7 @@
     not_run: Name = "X-Not-Run"
     rate_limit: Name = "X-Rate-Limit"
     leaving: Name = "X-Draining"
+    load: Name = "X-Upstream-Load"
     part_proofs: Name = "X-Part-Proofs"
     missing_parts: Name = "X-Parts-Missing"
 
--- a/tests/machines/test_deploy.py
+++ b/tests/machines/test_deploy.py
@@ -54,6 +54,7 @@
     assert [str(seed) for seed in settings.membership.seeds] == FIELDS["seeds"]
     assert settings.platform.url == "http://10.200.1.7:8102"
     assert settings.forwarding.extra_window_s == 10
+    assert settings.gateway.headers.load == "X-Server-Load"
     assert settings.platform.staleness_bound_ms == 3_000
     assert settings.settle_ms < settings.drain_timeout_ms < 6_000
 
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -15,6 +15,8 @@
     SLOW_FACTOR,
     LatencyEstimate,
 )
+from gooseberrymux.reported_load import REPORT_AGE_MS
+from gooseberrymux.upstream_signals import ReportedLoad, UpstreamSignals
 from harness import SteppingClock, create_reply_memory, create_settings
 from test_pool import create_call
 
@@ -312,3 +314,53 @@
         for _ in range(20):
             owner.run_exchange("u0", NotSent(reason=reason))
     assert owner.choose() == "u0"
+
+
+def report(owner, name, **load):
+    signals = UpstreamSignals(load=ReportedLoad(slots=2.0, **load))
+    result = dataclasses.replace(create_reply(), signals=signals)
+    owner.run_exchange(name, result)
+
+
+def test_an_upstream_where_requests_of_others_wait_is_left_until_the_report_is_old():
+    """Load: another sender fills the upstream at home, which the owner can't see."""
+    owner = Owner()
+    report(owner, "u0", running=2.0, waiting=2.0)
+    assert owner.choose() == "u1"
+    owner.clock.now += REPORT_AGE_MS
+    assert owner.choose() == "u0"
+
+
+def test_own_requests_in_a_report_are_no_load_of_others():
+    owner = Owner()
+    running = owner.start_exchange("u0")
+    report(owner, "u0", running=1.0, waiting=1.0)
+    assert owner.get_replica("u0").count_occupants(owner.clock.now) == 1.0
+    owner.finish_exchange("u0", running, create_reply())
+    assert owner.choose() == "u0"
+
+
+def test_a_reported_slowdown_counts_at_once_and_only_beyond_the_evidence():
+    """Load: an upstream is 2.5 times as slow for a time, and says so."""
+    owner = Owner()
+    report(owner, "u0", running=1.0, waiting=0.0, percent=100.0)
+    report(owner, "u0", running=1.0, waiting=0.0, percent=240.0)
+    assert owner.choose() == "u1"
+    owner.clock.now += REPORT_AGE_MS
+    assert owner.choose() == "u0"
+    # Slow replies and their figures together say no more than the replies alone.
+    slow = create_reply(elapsed_ms=24.0)
+    load = ReportedLoad(running=1.0, waiting=0.0, slots=2.0, percent=240.0)
+    slow = dataclasses.replace(slow, signals=UpstreamSignals(load=load))
+    for _ in range(30):
+        owner.run_exchange("u0", slow, elapsed_ms=24.0)
+    assert owner.get_replica("u0").get_slowness(owner.clock.now) < 2.6
+
+
+def test_absurd_reports_are_bounded_and_age_out():
+    owner = Owner()
+    report(owner, "u0", running=1e308, waiting=1e308, percent=1e300)
+    assert owner.choose() == "u1"
+    owner.clock.now += REPORT_AGE_MS
+    assert owner.choose() == "u0"
+    assert owner.get_replica("u0").count_occupants(owner.clock.now) == 0.0
--- a/tests/test_upstream_signals.py
+++ b/tests/test_upstream_signals.py
@@ -6,6 +6,7 @@
 from gooseberrymux.upstream_signals import (
     NO_SIGNALS,
     PAUSE_LIMIT_MS,
+    ReportedLoad,
     UpstreamSignals,
     parse_signals,
 )
@@ -50,3 +51,21 @@
 
 def test_a_pause_is_bounded():
     assert parse(status=503, retry_after="1e300").pause_ms == PAUSE_LIMIT_MS
+
+
+@pytest.mark.parametrize(
+    ("value", "percent"), [("3,1,2", None), ("3, 1, 2, 250", 250.0), ("3,1,2,8e1", 80)]
+)
+def test_a_load_has_three_or_four_figures(value, percent):
+    expected = ReportedLoad(running=3, waiting=1, slots=2, percent=percent)
+    assert parse(x_upstream_load=value).load == expected
+
+
+# Guards against a malformed header that ends a thread or keeps traffic away.
+@pytest.mark.parametrize(
+    "value",
+    ["", "1", "1,2", "1,2,3,4,5", "1,2,0", "1,2,3,0", "1,-2,3", "a,b,c", "1,2,3,nan"]
+    + ["1," * 5_000, "inf,1,2"],
+)
+def test_a_load_that_cant_be_read_counts_as_absent(value):
+    assert parse(x_upstream_load=value).load is None
