--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -400,7 +400,11 @@
         if slowness > SLOW_FACTOR or replica.is_stalled(now_ms):
             best_unfit = min(best_unfit, duration)
         else:
-            slots += min(replica.record.slots, limit)
-            busy += replica.count_occupants(now_ms)
+            own_slots = min(replica.record.slots, limit)
+            slots += own_slots
+            occupants = replica.count_occupants(now_ms)
+            # A slot that a rate limit forbids to use is as good as busy.
+            is_limited = replica.limits.get_rate_wait_ms(now_ms) > 0.0
+            busy += max(occupants, own_slots) if is_limited else occupants
             best = min(best, duration)
     return DomainLoad(slots=slots, busy=busy, duration=best if slots else best_unfit)
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -11,7 +11,8 @@
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.pending_requests import ANSWER_RESERVE_MS, PendingRequest
 from gooseberrymux.pool import Pool, PoolDependencies
-from gooseberrymux.replica_set import ReplicaSet
+from gooseberrymux.rate_limits import RateLimit
+from gooseberrymux.replica_set import ReplicaSet, measure_load
 from gooseberrymux.replicas import LatencyEstimate
 from gooseberrymux.route_latencies import RouteLatencies
 from gooseberrymux.spillover import Adaptive, Demand, DomainLoad, Spillover
@@ -191,6 +192,16 @@
     assert found[399::400] == [(0.0, True), (1.0, False), (0.0, True)]
 
 
+# Guards against a share that stays 0 while a limit keeps home's free slots unused.
+def test_a_rate_limit_that_is_used_up_makes_slots_busy(monkeypatch):
+    replicas = Load(monkeypatch).pool._replicas
+    replicas.refresh()
+    (home,) = replicas.list_usable(1_000.0, {"u1", "u2"})
+    home.limits.rate_limit = RateLimit(rate_per_s=1.0, now_ms=1_000.0)
+    assert measure_load([home], 100, 1_000.0).busy == 2
+    assert measure_load([home], 100, 2_000.0).busy == 0
+
+
 def test_a_hedge_goes_past_a_domain_that_is_short(monkeypatch):
     replicas = Load(monkeypatch).pool._replicas
     replicas.refresh()
