--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -84,6 +84,8 @@
         self._peers.register(AttemptGranted, self._handle_attempt)
         kernel.subscribe(LeaveStarted, self._handle_leave)
         kernel.subscribe(EvacuationsChanged, self._handle_evacuations)
+        if kernel.settings.forwarding.spillover == "adaptive":
+            metrics.spillover_share.read_from(self._list_shares)
 
     def start(self) -> None:
         """Does nothing: a pool is created with the first request of its service."""
@@ -184,6 +186,10 @@
         )
         return collector.collect
 
+    def _list_shares(self) -> dict[str, float]:
+        pools = list(self._pools.items())
+        return {name: pool.spillover_share for name, pool in pools}
+
     def _get_connection_limit(self, service_name: str) -> int | None:
         table = self._routes.get_current()
         return table.connections.get(service_name) if table else None
--- a/packages/gooseberrymux/src/gooseberrymux/replicas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replicas.py
@@ -7,6 +7,7 @@
 from gooseberrymux.exchange import REASON_CONNECT, REASON_DEADLINE
 from gooseberrymux.inventory import REASON_DOMAIN_EVACUATED, REASON_UPSTREAM_LEAVING
 from gooseberrymux.records import UpstreamRecord
+from gooseberrymux.reported_load import LoadReports
 from gooseberrymux.send_limits import SendLimits
 from gooseberrymux.upstream_health import (
     SERVING,
@@ -20,6 +21,7 @@
     Shed,
     UpstreamHealth,
 )
+from gooseberrymux.upstream_signals import ReportedLoad
 
 # An upstream counts as stalled if an exchange has lasted this many times the 95th
 # percentile of its route and no reply came from the upstream since the exchange began:
@@ -35,10 +37,6 @@
 # Relative cost added to an upstream whose slots are all busy, in proportion for fewer;
 # of two upstreams that are otherwise equal, the less loaded one is preferred.
 IN_FLIGHT_WEIGHT = 0.3
-# Cost added to an upstream in another failure domain, in median exchange times. It
-# exceeds the usual differences between upstreams and the cost of one busy slot, so that
-# traffic leaves the domain only if the upstream there does not keep pace.
-REMOTE_DOMAIN_COST = 0.5
 EJECTION_LIMIT_MS = 2_000.0
 # An upstream to which no connection could be opened may be restarting. It counts as
 # cold for about the time that its entry in the platform's list takes to say so.
@@ -72,6 +70,7 @@
         limits: What the upstream allows to be sent.
         connect_failed_ms: When a connection to it could last not be opened, in
             monotonic milliseconds.
+        reports: The load that it reports; None until it reports one.
     """
 
     __slots__ = (
@@ -83,6 +82,7 @@
         "last_send_ms",
         "limits",
         "connect_failed_ms",
+        "reports",
     )
 
     def __init__(self, *, record: UpstreamRecord):
@@ -94,6 +94,7 @@
         self.last_send_ms = float("-inf")
         self.limits = SendLimits()
         self.connect_failed_ms = float("-inf")
+        self.reports: LoadReports | None = None
 
     def has_free_slot(self, limit: int) -> bool:
         """Returns whether the upstream could run another exchange.
@@ -160,21 +161,37 @@
 
     def get_slowness(self, now_ms: float) -> float:
         """Returns the expected duration of an exchange, in medians of its route."""
-        return self.evidence.estimate_response_ms(
+        slowness = self.evidence.estimate_response_ms(
             record=self.record, neutral_ms=1.0, now_ms=now_ms
         )
+        if self.reports is None:
+            return slowness
+        return self.reports.estimate_duration(
+            slowness, own_count=len(self.in_flight), now_ms=now_ms
+        )
+
+    def count_occupants(self, now_ms: float) -> float:
+        """Returns the exchanges in flight, and what others have there if it reports."""
+        foreign = self.reports.count_foreign(now_ms) if self.reports else 0.0
+        return len(self.in_flight) + foreign
+
+    def estimate_duration(self, slowness: float) -> float:
+        """Returns the expected duration of an exchange, with what a cold start adds.
+
+        Args:
+            slowness: Result of `get_slowness` for the current time.
+        """
+        return slowness * (COLD_FACTOR if self.record.cold else 1.0)
 
-    def estimate_cost(self, *, slowness: float, domain: str) -> float:
+    def estimate_cost(self, *, slowness: float, crossing_cost: float) -> float:
         """Returns the cost of sending an exchange here, in medians of its route.
 
         Args:
             slowness: Result of `get_slowness` for the current time.
-            domain: The owner's failure domain.
+            crossing_cost: Cost of leaving the owner's failure domain; 0 within it.
         """
-        cold = COLD_FACTOR if self.record.cold else 1.0
         busy = IN_FLIGHT_WEIGHT * len(self.in_flight) / self.record.slots
-        far = 0.0 if self.record.failure_domain == domain else REMOTE_DOMAIN_COST
-        return slowness * cold * (1.0 + busy) + far
+        return self.estimate_duration(slowness) * (1.0 + busy) + crossing_cost
 
     def start_exchange(
         self, exchange: Exchange, latency: LatencyEstimate, now_ms: float
@@ -204,6 +221,7 @@
                 self.last_reply_ms = now_ms
                 if signals is not None:
                     self.limits.apply(signals, record=self.record, now_ms=now_ms)
+                    self._apply_load(signals.load, now_ms)
             case forward_exchange.NotSent(reason=reason) if reason == REASON_CONNECT:
                 self.connect_failed_ms = now_ms
         before = self.evidence.state
@@ -230,6 +248,15 @@
                 self.evidence.state = SERVING
         self._record_change(type(before).__name__, observation, exchange)
 
+    def _apply_load(self, load: ReportedLoad | None, now_ms: float) -> None:
+        if load is None:
+            return
+        if self.reports is None:
+            self.reports = LoadReports()
+        # The exchange that ended was removed already.
+        own_count = len(self.in_flight) + 1
+        self.reports.apply(load, own_count=own_count, now_ms=now_ms)
+
     def _record_change(
         self, before: str, observation: Observation, exchange: Exchange
     ) -> None:
