--- a/packages/gooseberrymux/src/gooseberrymux/forwarding.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forwarding.py
@@ -281,6 +281,7 @@
             body=http.body,
             top=get_record_limit(route),
             workspace=request.workspace.name if request.workspace else "",
+            answer_ms=request.target_at_ms - self._answer_margin_ms - now_ms,
         )
         return self._parts.send(template, inbox, budgets)
 
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -32,9 +32,10 @@
 from gooseberrymux.routes import Routes
 from gooseberrymux.timers import Timers
 
-# Merged parts are sent this long before the latency target, so that the entry instance
-# can receive them, merge them and answer the caller on time.
-FLUSH_MARGIN_MS = 13.0
+# Merged parts are sent this long before the entry answers, as a message takes that long
+# to reach a small entry and to be decoded there. Parts that arrive later would make an
+# answer late that has too few parts without them.
+FLUSH_LEAD_MS = 6.0
 # A shorter delay of a call is within the margin that deadlines have anyway.
 DELAY_IGNORED_MS = 2.0
 
@@ -182,7 +183,7 @@
             collector.flush()
 
         self._dependencies.timers.call_at(
-            now_ms + max(0.0, call.target_ms - FLUSH_MARGIN_MS), flush_collector
+            now_ms + max(0.0, call.answer_ms - FLUSH_LEAD_MS), flush_collector
         )
         return collector.collect
 
@@ -268,6 +269,7 @@
             call,
             remaining_ms=call.remaining_ms - delay_ms,
             target_ms=call.target_ms - delay_ms,
+            answer_ms=call.answer_ms - delay_ms,
         )
 
     def _handle_cancel(self, sender: InstanceIdentity, message: object) -> None:
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -584,12 +584,33 @@
 def test_a_merged_call_answers_with_the_greatest_records(owner):
     owner.add_upstream("u1", lambda r: r.reply(200, b"a" * 16 + b"c" * 16), service="s")
     owner.add_upstream("u2", lambda r: r.reply(200, b"b" * 16), service="t")
-    owner.submit(services=["s", "t"], top=2)
+    owner.submit(services=["s", "t"], top=2, answer_ms=500.0)
     (outcome,) = owner.wait_for_outcomes()
     assert outcome.records == b"c" * 16 + b"b" * 16
     assert sorted(part.service for part in outcome.parts) == ["s", "t"]
 
 
+def test_merged_parts_are_sent_before_the_entry_answers(owner):
+    """Guards against parts that are held until a small entry can only answer late.
+
+    One part is paused. Those that are there must leave in time for the entry, which
+    needs longer than a strong one, and not only in time for the latency target.
+    """
+    owner.add_upstream("u1", answer, service="s")
+    owner.add_upstream("u2", lambda request: None, service="t")
+    call = owner.submit(
+        services=["s", "t"],
+        top=2,
+        remaining_ms=60_000.0,
+        target_ms=60_000.0,
+        answer_ms=50.0,
+        attempts=1,
+    )
+    (outcome,) = owner.wait_for_outcomes()
+    assert [part.service for part in outcome.parts] == ["s"]
+    owner.pools.cancel(CancelForward(id=call.id, services=["t"]))
+
+
 def test_the_instances_of_a_service_are_described(owner):
     owner.add_upstream("u1", answer)
     owner.submit()
--- a/tests/test_remote_owners.py
+++ b/tests/test_remote_owners.py
@@ -11,6 +11,7 @@
     PartReplied,
     PartUnknown,
 )
+from gooseberrymux.forwarding import ANSWER_TRANSIT_MS, MERGE_AND_WRITE_MS
 from gooseberrymux.parts import Parts
 from gooseberrymux.peers import MessagesNotSent, PeerLost
 from harness import wait_until
@@ -71,6 +72,15 @@
     created.env.stop()
 
 
+def test_an_owner_is_told_when_the_entry_answers(owner):
+    # Guards against an owner that holds merged parts for a time of its own choice.
+    owner.send_request(latency_target_ms=200.0)
+    (call,) = owner.list_sent()
+    assert call.target_ms - call.answer_ms == pytest.approx(
+        ANSWER_TRANSIT_MS + MERGE_AND_WRITE_MS
+    )
+
+
 def test_a_lost_owner_costs_a_repeatable_request_one_attempt(owner):
     caller = owner.send_request()
     owner.publish_loss()
