--- a/packages/gooseberrymux/src/gooseberrymux/fair_queue.py
+++ b/packages/gooseberrymux/src/gooseberrymux/fair_queue.py
@@ -44,13 +44,14 @@
 
         Args:
             is_preferred: Items for which this returns True go before the other items of
-                their flow. They do not go before those of other flows, as a flood of
-                new items would then hold up what other flows have had to wait for.
+                their flow, and flows with such an item before the others of the same
+                round. The round bounds how long a flood of new items can hold up what
+                other flows have had to wait for.
         """
         if not self._turns:
             self._turns, self._next_turns = self._next_turns, self._turns
             self._served.clear()
-        flow = self._turns.popleft()
+        flow = self._take_turn(is_preferred)
         self._served.add(flow)
         items = self._flows[flow]
         item = take_first(items, is_preferred)
@@ -60,6 +61,15 @@
             del self._flows[flow]
         return item
 
+    def _take_turn(self, is_preferred: Predicate | None) -> str:
+        """Removes the flow whose turn is next from this round and returns it."""
+        if is_preferred is not None and len(self._turns) > 1:
+            for position, flow in enumerate(self._turns):
+                if any(map(is_preferred, self._flows[flow])):
+                    del self._turns[position]
+                    return flow
+        return self._turns.popleft()
+
     def pop_newest_of_longest(self, flow: str) -> object | None:
         """Removes and returns the newest item of the flow with the most items.
 
@@ -100,7 +110,8 @@
         )
         ahead = own
         # The flows that have their turn before this one have one more dispatch each
-        # than the new item has items of its own flow in front of it.
+        # than the new item has items of its own flow in front of it, unless they have
+        # nothing that is preferred.
         dispatches = own + 1
         if own_items or flow in self._served:
             order = (*self._turns, *self._next_turns)
@@ -108,9 +119,11 @@
             order = (*self._turns, flow, *self._next_turns)
         for name in order:
             if name == flow:
-                dispatches -= 1
-            else:
-                ahead += min(len(self._flows[name]), dispatches)
+                dispatches = own
+                continue
+            items = self._flows[name]
+            yields = is_preferred is not None and not any(map(is_preferred, items))
+            ahead += min(len(items), own if yields else dispatches)
         return ahead
 
 
--- a/tests/test_fair_queue.py
+++ b/tests/test_fair_queue.py
@@ -42,6 +42,21 @@
     assert refused == {"flood"}
 
 
+def test_what_is_on_time_goes_first_within_a_round():
+    """Guards against a backlog of late requests that makes all behind them late.
+
+    Load: 20 workspaces wait with one late request each when two others send one that
+    can be on time.
+    """
+    queue = FairQueue()
+    late_flows = [f"late-{number}" for number in range(20)]
+    for flow in (*late_flows, "new-1", "new-2"):
+        queue.append(flow, flow)
+    assert queue.count_ahead("new-3", lambda flow: flow.startswith("new")) == 2
+    dispatched = [queue.pop(lambda flow: flow.startswith("new")) for _ in range(22)]
+    assert dispatched == ["new-1", "new-2", *late_flows]
+
+
 @given(OPERATIONS)
 def test_the_order_is_that_of_start_time_fair_queueing(operations):
     """Guards against rounds that stand for other start tags than they should.
