--- a/packages/gooseberrymux/src/gooseberrymux/codec.py
+++ b/packages/gooseberrymux/src/gooseberrymux/codec.py
@@ -9,6 +9,7 @@
 from gooseberrymux.errors import MuxError
 from gooseberrymux.forward_messages import FORWARD_TYPES
 from gooseberrymux.messages import MESSAGE_TYPES
+from gooseberrymux.quota_messages import QUOTA_TYPES
 
 FORMAT_VERSION = 2
 FRAME_LIMIT_BYTES = 4 * 1024 * 1024
@@ -56,7 +57,8 @@
 _encoder = msgspec.msgpack.Encoder()
 _frame_decoder = msgspec.msgpack.Decoder(_Frame)
 _decoders = {
-    cls.__name__: msgspec.msgpack.Decoder(cls) for cls in MESSAGE_TYPES + FORWARD_TYPES
+    cls.__name__: msgspec.msgpack.Decoder(cls)
+    for cls in MESSAGE_TYPES + FORWARD_TYPES + QUOTA_TYPES
 }
 
 
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -35,6 +35,7 @@
     ProbeReply,
     ProbeRequest,
 )
+from gooseberrymux.quota_messages import QuotaGrant, QuotaRequest
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.sessions import Session, limit_library_threads
 from gooseberrymux.settings import Address
@@ -491,7 +492,7 @@
         case CancelForward(services=services):
             return -len(services)
         case _:
-            return int(isinstance(message, AWAITED_REQUEST_TYPES))
+            return int(isinstance(message, (*AWAITED_REQUEST_TYPES, QuotaRequest)))
 
 
 def count_answers(message: object) -> int:
@@ -500,7 +501,8 @@
         case PartsMerged(parts=parts):
             return len(parts)
         case _:
-            return int(isinstance(message, ANSWER_TYPES + PART_OUTCOME_TYPES))
+            answer_types = (*ANSWER_TYPES, *PART_OUTCOME_TYPES, QuotaGrant)
+            return int(isinstance(message, answer_types))
 
 
 def list_member_updates(messages: list) -> list[MemberUpdate]:
