--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -1,5 +1,6 @@
 """Entry point for callers: routes requests, writes replies and reports readiness."""
 
+import math
 import secrets
 import threading
 
@@ -30,8 +31,15 @@
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.own_delay import OwnDelay
+from gooseberrymux.quotas import Exceeded, Quotas
 from gooseberrymux.records import Rank, Refusal, RunState
-from gooseberrymux.routes import CallerLimits, HttpRoute, HttpRouteTable, Routes
+from gooseberrymux.routes import (
+    CallerLimits,
+    HttpRoute,
+    HttpRouteTable,
+    Routes,
+    Workspace,
+)
 
 HEALTH_THREADS = 2
 # Random bytes in the id of a request whose caller sends none.
@@ -50,6 +58,7 @@
     "malformed_request": 400,
     "deadline": 504,
     "deadline_expired": 503,
+    "quota_exceeded": 429,
 }
 STATUS_BY_RUN_STATE = {RunState.NOT_RUN: 503, RunState.UNKNOWN: 502}
 
@@ -63,6 +72,7 @@
         "callers",
         "admission",
         "own_delay",
+        "quotas",
     ),
 )
 class Gateway:
@@ -76,6 +86,7 @@
         "_disconnect_watcher",
         "_admission",
         "_own_delay",
+        "_quotas",
         "_header_names",
         "_caller_server",
         "_health_server",
@@ -94,6 +105,7 @@
         self._disconnect_watcher = kernel.find("callers", DisconnectWatcher)
         self._admission = kernel.find("admission", Admission)
         self._own_delay = kernel.find("own_delay", OwnDelay)
+        self._quotas = kernel.find("quotas", Quotas)
         self._header_names = kernel.settings.gateway.headers
         self._caller_server: CallerServer | None = None
         self._health_server = None
@@ -215,11 +227,24 @@
             if refused:
                 self._record_refusal(received, refused)
                 return self._create_refusal_reply(refused)
+            # Last, so that no token is spent on a request that is refused anyway.
+            if exceeded := self._check_quota(forward):
+                self._record_refusal(received, exceeded)
+                return self._create_refusal_reply(exceeded)
             result = self._run_forward(forward, received)
         caller_reply = self._create_caller_reply(result)
         self._record_metrics(rank, caller_reply, started_ms)
         return caller_reply
 
+    def _check_quota(self, forward: RoutedRequest) -> Refusal | None:
+        """Spends a token of the caller's workspace, or returns the refusal."""
+        workspace = forward.workspace
+        match self._quotas.acquire(workspace, until_ms=forward.deadline_ms):
+            case Exceeded(retry_after_ms=retry_after_ms):
+                return create_quota_refusal(workspace, retry_after_ms)
+            case _:
+                return None
+
     def _run_forward(
         self, forward: RoutedRequest, received: ReceivedRequest
     ) -> ForwardResult:
@@ -392,6 +417,19 @@
     )
 
 
+def create_quota_refusal(workspace: Workspace, retry_after_ms: float) -> Refusal:
+    """Returns the refusal of a request above the quota of its workspace."""
+    return Refusal(
+        code="quota_exceeded",
+        message=f"workspace {workspace.name!r} has used its quota of "
+        f"{workspace.rate_per_s:g} requests a second and a burst of "
+        f"{workspace.burst:g}",
+        run_state=RunState.NOT_RUN,
+        step="quotas.acquire",
+        retry_after_ms=math.ceil(retry_after_ms),
+    )
+
+
 def create_leaving_refusal() -> Refusal:
     """Returns the refusal while this instance is stopping."""
     return create_temporary_refusal(
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -146,6 +146,21 @@
 upstream_connections_total = Counter(
     "gooseberrymux_upstream_connections_total", "Connections opened to upstreams."
 )
+quota_requests_total = Counter(
+    "gooseberrymux_quota_requests_total",
+    "Requests of workspaces with a quota by outcome (held: a token was there; granted: "
+    "the first member asked granted one; granted_late: a later one did; refused).",
+)
+quota_grants_total = Counter(
+    "gooseberrymux_quota_grants_total",
+    "Requests for tokens that other instances sent to this one, by kind (awaited: a "
+    "caller waits; ahead) and result.",
+)
+quota_wait_ms = Histogram(
+    "gooseberrymux_quota_wait_ms",
+    "Time in milliseconds that requests waited for a token, where none was held.",
+    buckets=LATENCY_BUCKETS_MS,
+)
 faults_total = Counter("gooseberrymux_faults_total", "Faults by step.")
 log_lines_dropped_total = Counter(
     "gooseberrymux_log_lines_dropped_total", "Log lines that were not written."
--- a/packages/gooseberrymux/src/gooseberrymux/quota_answers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_answers.py
@@ -75,7 +75,8 @@
     """Returns the retry time of the first member that declined."""
     for answer in answers.values():
         match answer:
-            case Declined(retry_after_ms=retry_after_ms):
+            # A grant that has expired names no time.
+            case Declined(retry_after_ms=retry_after_ms) if retry_after_ms:
                 return retry_after_ms
     return default_ms
 
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -233,6 +233,21 @@
     queue_limit: Count = 256
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QuotaSettings:
+    """By how much the requests of a workspace may exceed its quota.
+
+    Attributes:
+        window_s: Seconds; the limit holds in any window of this length.
+        tolerance_share: Excess as a share of the quota in a window.
+        tolerance_requests: Excess in requests, beside the share.
+    """
+
+    window_s: Annotated[float, Meta(gt=0)] = 5.0
+    tolerance_share: Share = 0.1
+    tolerance_requests: Annotated[float, Meta(ge=0)] = 20.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Settings:
     """All settings of one instance."""
@@ -246,6 +261,7 @@
     orders: OrderSettings
     gateway: GatewaySettings
     forwarding: ForwardingSettings
+    quotas: QuotaSettings
     services: list[str]
 
     @property
