--- a/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
@@ -292,6 +292,15 @@
         for found in self._workspaces.values():
             found.set_share(share, now_ms)
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no workspace has asked for tokens here."""
+        return not self._workspaces
+
+    def start_ticks(self, now_ms: float) -> None:
+        """Announces that `tick` is called from now on."""
+        self._ticked_ms = now_ms
+
     def tick(self, now_ms: float) -> bool:
         """Records that this instance runs; expected every `TICK_MS`.
 
--- a/packages/gooseberrymux/src/gooseberrymux/quotas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quotas.py
@@ -227,8 +227,9 @@
     def _ask(self, workspace: Workspace, target: str, until_ms: float) -> Answer:
         """Asks one member for a token and waits for the answer."""
         request, waiter = self._create_request(workspace, target)
-        if target == self._peers.identity.name:
-            self._handle_grant(self._peers.identity, self._grant(request))
+        own = self._peers.identity
+        if target == own.name:
+            self._handle_grant(own, self._grant(request, own))
         elif self._peers.send(target, request).is_err():
             return self._end_wait(request.id, waiter)
         until_ms = min(until_ms, self._clock.now_ms() + ANSWER_WAIT_MS)
@@ -288,20 +289,16 @@
             )
         self._peers.send(granting[0], request)
 
-    def _grant(self, request: QuotaRequest) -> QuotaGrant:
+    def _grant(self, request: QuotaRequest, sender: InstanceIdentity) -> QuotaGrant:
         now_ms = self._clock.boot_ms()
         with self._lock:
+            self._start_ticks(now_ms)
             self._refresh_members(now_ms)
-            return self._grants.grant(
-                request, sender=self._peers.identity, now_ms=now_ms
-            )
+            return self._grants.grant(request, sender=sender, now_ms=now_ms)
 
     def _handle_request(self, sender: InstanceIdentity, message: object) -> None:
         assert isinstance(message, QuotaRequest)
-        now_ms = self._clock.boot_ms()
-        with self._lock:
-            self._refresh_members(now_ms)
-            grant = self._grants.grant(message, sender=sender, now_ms=now_ms)
+        grant = self._grant(message, sender)
         kind = "ahead" if message.ahead else "awaited"
         result = "granted" if grant.tokens else "declined"
         metrics.quota_grants_total.inc({"kind": kind, "result": result})
@@ -350,10 +347,15 @@
                 if workspace.rate_per_s
             }
             self._grants.set_limits(self._limits, now_ms)
-            starts = bool(self._limits) and not self._is_ticking
-            self._is_ticking = self._is_ticking or starts
-        if starts:
-            self._tick()
+            if self._limits:
+                self._start_ticks(now_ms)
+
+    def _start_ticks(self, now_ms: float) -> None:
+        """Starts the ticks if there are none; the caller holds the lock."""
+        if not self._is_ticking:
+            self._is_ticking = True
+            self._grants.start_ticks(now_ms)
+            self._timers.call_at(self._clock.now_ms() + TICK_MS, self._tick)
 
     def _tick(self) -> None:
         """Notices a suspension and changes of the members; runs while quotas exist."""
@@ -361,12 +363,12 @@
         with self._lock:
             self._refresh_members(now_ms)
             was_suspended = self._grants.tick(now_ms)
-            self._is_ticking = bool(self._limits) and not self._stopping
-            goes_on = self._is_ticking
+            has_quotas = bool(self._limits) or not self._grants.is_empty
+            self._is_ticking = has_quotas and not self._stopping
+            if self._is_ticking:
+                self._timers.call_at(self._clock.now_ms() + TICK_MS, self._tick)
         if was_suspended:
             journal.record_event("quotas.suspended")
-        if goes_on:
-            self._timers.call_at(self._clock.now_ms() + TICK_MS, self._tick)
 
     def _refresh_members(self, now_ms: float) -> None:
         """Takes over the members known now; the caller holds the lock."""
