--- a/packages/gooseberrymux/src/gooseberrymux/quota_balances.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_balances.py
@@ -10,7 +10,7 @@
 
 from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.quota_grants import HELD_MS
-from gooseberrymux.quota_limits import QuotaTolerance
+from gooseberrymux.quota_limits import RETRY_LIMIT_MS
 from gooseberrymux.quota_messages import QuotaGrant
 
 # Recent uses that are kept for each workspace; bounds the tokens requested ahead.
@@ -100,14 +100,13 @@
     """Balances of all workspaces at this entry. Not thread-safe.
 
     Args:
-        tolerance: By how much the requests in a window may exceed a quota.
+        lapse_ms: Time for which a token lasts that is not held for long.
     """
 
-    __slots__ = ("_lapse_ms", "_window_ms", "_balances", "_open", "_ids", "_last_id")
+    __slots__ = ("_lapse_ms", "_balances", "_open", "_ids", "_last_id")
 
-    def __init__(self, *, tolerance: QuotaTolerance):
-        self._lapse_ms = tolerance.lapse_ms
-        self._window_ms = tolerance.window_ms
+    def __init__(self, *, lapse_ms: float):
+        self._lapse_ms = lapse_ms
         self._balances: dict[str, Balance] = collections.defaultdict(Balance)
         self._open: dict[int, OpenRequest] = {}
         self._ids = itertools.count(1)
@@ -131,9 +130,9 @@
             return None
         retry_after_ms = balance.retry_at_ms - now_ms
         # The next one later, as tokens accrue one after the other.
-        if retry_after_ms < self._window_ms:
+        if retry_after_ms < RETRY_LIMIT_MS:
             balance.retry_at_ms += MS_PER_S / rate_per_s
-        return min(self._window_ms, retry_after_ms)
+        return min(RETRY_LIMIT_MS, retry_after_ms)
 
     def record_refusal(
         self, workspace: str, *, retry_after_ms: float, now_ms: float
--- a/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
@@ -7,7 +7,12 @@
 from collections.abc import Callable, Mapping
 
 from gooseberrymux.clock import MS_PER_S
-from gooseberrymux.quota_limits import QuotaBucket, QuotaLimit, QuotaTolerance
+from gooseberrymux.quota_limits import (
+    RETRY_LIMIT_MS,
+    QuotaBucket,
+    QuotaLimit,
+    QuotaTolerance,
+)
 from gooseberrymux.quota_messages import QuotaGrant, QuotaRequest
 from gooseberrymux.records import InstanceIdentity
 
@@ -191,12 +196,11 @@
         Callers that are refused one after the other get times one after the other, as
         only one token accrues at a time.
         """
-        window_ms = self._tolerance.window_ms
         rate_per_s = self.limit.rate_per_s * self._share
-        wait_ms = min(self._bucket.get_wait_ms(now_ms), window_ms)
+        wait_ms = min(self._bucket.get_wait_ms(now_ms), RETRY_LIMIT_MS)
         retry_ms = max(wait_ms, self._retry_slot_ms - now_ms)
-        if retry_ms >= window_ms or not rate_per_s:
-            return window_ms
+        if retry_ms >= RETRY_LIMIT_MS or not rate_per_s:
+            return RETRY_LIMIT_MS
         self._retry_slot_ms = now_ms + retry_ms + MS_PER_S / rate_per_s
         return max(MIN_RETRY_AFTER_MS, retry_ms)
 
--- a/packages/gooseberrymux/src/gooseberrymux/quota_limits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_limits.py
@@ -14,6 +14,9 @@
 ADVANCE_PART = 0.25
 RESERVE_PART = 0.125
 HELD_PART = 0.15
+# Longest time that a refused caller is told to wait. Callers wait for their answer for
+# 0.3 to 2.5 s in all, so a longer time would mean that they give up.
+RETRY_LIMIT_MS = 1_000.0
 # Tokens accrue in floating point; a bucket that lacks less than this has a token.
 TOKEN_TOLERANCE = 1e-6
 
--- a/packages/gooseberrymux/src/gooseberrymux/quotas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quotas.py
@@ -105,7 +105,7 @@
             own_name=self._peers.identity.name,
             max_owners=kernel.settings.forwarding.owners,
         )
-        self._balances = QuotaBalances(tolerance=self._tolerance)
+        self._balances = QuotaBalances(lapse_ms=self._tolerance.lapse_ms)
         self._grants = QuotaGrants(
             tolerance=self._tolerance,
             find_role=self._members.find_role,
--- a/tests/quota_simulation.py
+++ b/tests/quota_simulation.py
@@ -41,7 +41,7 @@
         # Clocks of different machines differ by any constant.
         self.clock_offset_ms = 1e6 * (1 + ord(name)) + incarnation
         self.members = QuotaMembers(own_name=name, max_owners=MAX_OWNERS)
-        self.balances = QuotaBalances(tolerance=TOLERANCE)
+        self.balances = QuotaBalances(lapse_ms=TOLERANCE.lapse_ms)
         self.grants = QuotaGrants(
             tolerance=TOLERANCE,
             find_role=self.members.find_role,
