--- a/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
@@ -16,7 +16,7 @@
 from gooseberrymux.quota_messages import QuotaGrant, QuotaRequest
 from gooseberrymux.records import InstanceIdentity
 
-# Tokens ahead are granted only from above this share of a bucket, so that they are never
+# Tokens ahead are granted only from above this share of a bucket, so that they are not
 # missing where a caller waits.
 AHEAD_FLOOR_SHARE = 0.25
 # How long a token lasts that an entry holds for a workspace it sees every few seconds.
--- a/packages/gooseberrymux/src/gooseberrymux/quotas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quotas.py
@@ -232,14 +232,15 @@
             self._handle_grant(own, self._grant(request, own))
         elif self._peers.send(target, request).is_err():
             return self._end_wait(request.id, waiter)
-        until_ms = min(until_ms, self._clock.now_ms() + ANSWER_WAIT_MS)
+        late_ms = self._clock.now_ms() + ANSWER_WAIT_MS
         with self._lock:
             while waiter.answer is None:
-                remaining_ms = until_ms - self._clock.now_ms()
-                if remaining_ms <= 0.0:
-                    self._unanswered_ms[target] = self._clock.now_ms()
+                now_ms = self._clock.now_ms()
+                if now_ms >= late_ms:
+                    self._unanswered_ms[target] = now_ms
+                if now_ms >= min(until_ms, late_ms):
                     break
-                self._clock.wait(waiter.answered, remaining_ms)
+                self._clock.wait(waiter.answered, min(until_ms, late_ms) - now_ms)
         return self._end_wait(request.id, waiter)
 
     def _end_wait(self, request_id: int, waiter: Waiter) -> Answer:
--- a/tests/machines/test_deploy.py
+++ b/tests/machines/test_deploy.py
@@ -1,5 +1,6 @@
 """The deploy file and its settings template, tested without the users' platform."""
 
+import dataclasses
 import shlex
 import tomllib
 from pathlib import Path
@@ -74,8 +75,12 @@
         "budgetWindowS": 2.5,
         "retryBudgetSlack": 7.5,
         "configApplyMs": 2_500.5,
+        "quotaWindowS": 2.5,
+        "quotaOver": 0,
+        "quotaSlack": 7.5,
     }
     settings = read_settings(bounds=bounds, seeds=[])
+    assert dataclasses.astuple(settings.quotas) == (2.5, 0, 7.5)
     assert settings.membership.seeds == []
     assert settings.forwarding.extra_window_s == 2.5
     assert settings.platform.staleness_bound_ms == 2_500.5
