--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -31,7 +31,8 @@
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
 from gooseberrymux.own_delay import OwnDelay
-from gooseberrymux.quotas import Exceeded, Quotas
+from gooseberrymux.quota_answers import Exceeded
+from gooseberrymux.quotas import Quotas
 from gooseberrymux.records import Rank, Refusal, RunState
 from gooseberrymux.routes import (
     CallerLimits,
--- a/packages/gooseberrymux/src/gooseberrymux/quota_answers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_answers.py
@@ -1,4 +1,4 @@
-"""Answers to a request for a token, and the wait of a caller's thread for one."""
+"""Outcomes of a request for a token, and the wait of a caller's thread for them."""
 
 import dataclasses
 import threading
@@ -7,6 +7,24 @@
 from gooseberrymux.quota_messages import QuotaGrant
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Admitted:
+    """The request is within the quota of its workspace."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Exceeded:
+    """No token was granted for the request; it must not run.
+
+    Attributes:
+        retry_after_ms: Time in which the caller should retry.
+        reason: What decided it.
+    """
+
+    retry_after_ms: float
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Granted:
     """A member granted the token that a caller waits for."""
--- a/packages/gooseberrymux/src/gooseberrymux/quota_members.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_members.py
@@ -21,9 +21,18 @@
 
     Attributes:
         share: Share of each quota that the owners among the live members may grant.
+        has_unheard: Whether members are listed that nothing is known of.
     """
 
-    __slots__ = ("_own_name", "_max_owners", "_eligible", "_ranked", "_left", "share")
+    __slots__ = (
+        "_own_name",
+        "_max_owners",
+        "_eligible",
+        "_ranked",
+        "_left",
+        "share",
+        "has_unheard",
+    )
 
     def __init__(self, *, own_name: str, max_owners: int):
         self._own_name = own_name
@@ -33,6 +42,7 @@
         # Incarnations of the members that announced their stop.
         self._left: dict[str, int] = {}
         self.share = 1.0
+        self.has_unheard = False
 
     def update(
         self, *, live: Sequence[InstanceRecord], members: Iterable[MemberUpdate]
@@ -83,6 +93,7 @@
         just started sees itself as the owner of everything.
         """
         lost = 0
+        self.has_unheard = False
         for member in members:
             name, incarnation = member.instance, member.incarnation
             if member.state is MemberState.LEAVING:
@@ -91,4 +102,5 @@
                 self._left.pop(name, None)
             elif not incarnation or self._left.get(name) != incarnation:
                 lost += 1
+                self.has_unheard = self.has_unheard or not incarnation
         return len(live) / (len(live) + lost) if live else 0.0
--- a/packages/gooseberrymux/src/gooseberrymux/quotas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quotas.py
@@ -5,7 +5,6 @@
 to the peers, the clock and the threads of callers.
 """
 
-import dataclasses
 import threading
 
 from gooseberrymux import journal, metrics
@@ -15,7 +14,9 @@
 from gooseberrymux.membership import LiveChanged, Membership
 from gooseberrymux.peers import Peers
 from gooseberrymux.quota_answers import (
+    Admitted,
     Answer,
+    Exceeded,
     Granted,
     Redirected,
     Unanswered,
@@ -38,28 +39,13 @@
 # A member that left a request unanswered is asked last for this long, which is how
 # long membership takes to notice that it is gone.
 UNANSWERED_MEMORY_MS = 1_000.0
+# An instance that has just started hears from most members within this time. Until then
+# it may take itself for an owner whose predecessor it does not know yet.
+JOIN_MS = 10_000.0
 # Owner, stand-in, and a member that one of them names as the owner.
 MAX_ASKED_MEMBERS = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Admitted:
-    """The request is within the quota of its workspace."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Exceeded:
-    """No token was granted for the request; it must not run.
-
-    Attributes:
-        retry_after_ms: Time in which the caller should retry.
-        reason: What decided it.
-    """
-
-    retry_after_ms: float
-    reason: str
-
-
 @service("quotas", requires=("peers", "membership", "routes", "timers"))
 class Quotas:
     """Keeps the requests of each workspace within its quota, over all instances.
@@ -79,6 +65,7 @@
         "_members",
         "_balances",
         "_grants",
+        "_started_ms",
         "_limits",
         "_waiters",
         "_unanswered_ms",
@@ -111,6 +98,7 @@
             find_role=self._members.find_role,
             started_ms=self._clock.boot_ms(),
         )
+        self._started_ms = self._clock.now_ms()
         self._limits: dict[str, QuotaLimit] = {}
         self._waiters: dict[int, Waiter] = {}
         # When a member last left a request unanswered.
@@ -214,13 +202,22 @@
         )
 
     def _list_targets(self, workspace: str) -> list[str]:
-        """Returns the owner and the stand-in; one that is silent lately comes last."""
-        silent_before_ms = self._clock.now_ms() - UNANSWERED_MEMORY_MS
+        """Returns the owner and the stand-in; one that is silent lately comes last.
+
+        An instance that has just started leaves itself out; if the others see it as the
+        owner too, they name it.
+        """
+        now_ms = self._clock.now_ms()
+        is_new = now_ms - self._started_ms < JOIN_MS
         with self._lock:
+            granting = self._members.list_granting(workspace)
+            if is_new and self._members.has_unheard:
+                granting = tuple(name for name in granting if not self._is_own((name,)))
             return sorted(
-                self._members.list_granting(workspace),
+                granting,
                 key=lambda name: (
-                    self._unanswered_ms.get(name, float("-inf")) > silent_before_ms
+                    self._unanswered_ms.get(name, float("-inf"))
+                    > now_ms - UNANSWERED_MEMORY_MS
                 ),
             )
 
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -12,8 +12,9 @@
 from gooseberrymux.membership import LiveChanged
 from gooseberrymux.messages import MemberUpdate
 from gooseberrymux.peers import PeerError
+from gooseberrymux.quota_answers import Admitted, Exceeded
 from gooseberrymux.quota_messages import QuotaGrant
-from gooseberrymux.quotas import ANSWER_WAIT_MS, Admitted, Exceeded, Quotas
+from gooseberrymux.quotas import ANSWER_WAIT_MS, Quotas
 from gooseberrymux.records import MemberState
 from gooseberrymux.routes import Workspace
 from harness import (
@@ -35,15 +36,17 @@
     def __init__(self, names):
         super().__init__(names)
         self.lost = set()
+        self.unheard = set()
 
     def list_live(self):
-        return tuple(m for m in super().list_live() if m.name not in self.lost)
+        absent = self.lost | self.unheard
+        return tuple(m for m in super().list_live() if m.name not in absent)
 
     def list_members(self):
         return tuple(
             MemberUpdate(
                 instance=name,
-                incarnation=1,
+                incarnation=int(name not in self.unheard),
                 state=MemberState.DEAD if name in self.lost else MemberState.ALIVE,
                 host="h",
                 port=1,
@@ -198,6 +201,19 @@
     assert env.results == [Admitted()]
 
 
+def test_an_instance_that_has_just_started_asks_another_member_first(env):
+    """Guards against a new instance that grants although an owner exists already."""
+    env.membership.unheard = {"n"}
+    env.kernel.publish(LiveChanged())
+    names = (f"own-{number}" for number in range(100))
+    env.name = next(name for name in names if env.list_granting(name)[0] == "entry")
+    env.workspace = dataclasses.replace(env.workspace, name=env.name)
+    thread = env.acquire()
+    env.answer(env.wait_for_request("m"), sender="m", tokens=1, lapse_ms=250.0)
+    thread.join()
+    assert env.results == [Admitted()]
+
+
 def test_the_gateway_refuses_a_request_above_the_quota(monkeypatch):
     """Guards against a request that runs although it was refused with 429."""
     environment = GatewayEnvironment(members=("entry",))
