--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -58,6 +58,8 @@
         self.replicas = replicas
         self.single_service = SINGLE_SERVICES[0]
         self.timeout_ms = DEADLINE_MS
+        # Tenants of the configuration, as operators write them to the store.
+        self.tenants: list[dict] = []
         self._ids = itertools.count(1)
         self._generations = itertools.count(1)
         self._version_numbers = itertools.count(3, 2)
@@ -323,6 +325,7 @@
             "headerTimeoutMs": 3_000,
             "idleTimeoutMs": 15_000,
         },
+        "tenants": cluster.tenants,
     }
 
 
--- a/tests/test_quota_processes.py
+++ b/tests/test_quota_processes.py
@@ -4,7 +4,6 @@
 import threading
 
 import pytest
-import yaml
 
 from gooseberrymux.ownership import rank_members
 from gooseberrymux.quota_members import KEY_PREFIX
@@ -13,11 +12,11 @@
 from harness import wait_until
 from http_scripted import HttpCaller
 from soak.cluster import FETCH, Cluster
-from soak.instances import SupervisedInstance
 from soak.upstreams import now_ms
-from soak.workspace_header import WORKSPACE_HEADER
 
 RATE, BURST = 8.0, 8.0
+# API keys by kind of load; only the workspace of the first has a quota.
+KEYS = {"quota": "key-of-w", "ordinary": "key-of-unlimited"}
 # The bound that the platform checks in each window of 5 s.
 WINDOW_MS = 5_000.0
 BOUND = (RATE * 5 + BURST) * 1.1 + 20
@@ -25,20 +24,14 @@
 
 
 @pytest.fixture
-def cluster(tmp_path, monkeypatch):
-    write = SupervisedInstance.write_settings
-
-    def write_with_header_service(instance, *, slack):
-        write(instance, slack=slack)
-        path = tmp_path / f"{instance.name}.yaml"
-        settings = yaml.safe_load(path.read_text())
-        settings["services"].append("soak.workspace_header")
-        path.write_text(yaml.safe_dump(settings))
-
-    monkeypatch.setattr(SupervisedInstance, "write_settings", write_with_header_service)
+def cluster(tmp_path):
     created = Cluster(
         seed=1, folder=tmp_path, instances=3, callers=0, shards=3, replicas=6
     )
+    created.tenants = [
+        {"name": "w", "apiKeys": [KEYS["quota"]], "ratePerS": RATE, "burst": BURST},
+        {"name": "unlimited", "apiKeys": [KEYS["ordinary"]]},
+    ]
     try:
         created.start()
         yield created
@@ -62,18 +55,15 @@
             thread.start()
 
     def run(self, entry, kind):
-        headers = {WORKSPACE_HEADER: f"w:{RATE}:{BURST}"} if kind == "quota" else {}
+        headers = {"x-key": KEYS[kind], "x-request-id": ""}
         number = 0
         while not self.stopped.wait(PAUSE_S):
             number += 1
-            request_id = f"{kind}-{entry.name}-{number}"
+            headers["x-request-id"] = f"{kind}-{entry.name}-{number}"
             with contextlib.suppress(OSError):
                 caller = HttpCaller((HOST, entry.caller_port))
                 status, fields, _ = caller.get(
-                    f"{FETCH}x",
-                    host="soak.example",
-                    **{"x-request-id": request_id},
-                    **headers,
+                    f"{FETCH}x", host="soak.example", **headers
                 )
                 caller.close()
                 self.answers.append((now_ms(), entry.name, kind, status, fields))
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -6,6 +6,7 @@
 import pytest
 from result import Err, Ok
 
+from gooseberrymux.api_keys import hash_key
 from gooseberrymux.clock import ManualClock
 from gooseberrymux.gateway import Gateway
 from gooseberrymux.kernel import Kernel
@@ -214,22 +215,22 @@
     assert env.results == [Admitted()]
 
 
-def test_the_gateway_refuses_a_request_above_the_quota(monkeypatch):
+def test_the_gateway_refuses_a_request_above_the_quota():
     """Guards against a request that runs although it was refused with 429."""
     environment = GatewayEnvironment(members=("entry",))
     gateway = environment.kernel.find("gateway", Gateway)
     gateway._quotas._membership = QuotaMembership(("entry",))
     # Tokens accrue far too slowly for a request.
-    workspace = Workspace(name="small", rate_per_s=0.001, burst=0.0)
-    create = Gateway._create_forward
-    monkeypatch.setattr(
-        Gateway,
-        "_create_forward",
-        lambda *arguments: dataclasses.replace(create(*arguments), workspace=workspace),
+    workspace = {"name": "small", "key_digests": [hash_key("k")], "rate_per_s": 0.001}
+    publish(
+        environment.kernel,
+        "routes/current",
+        1,
+        routes=[create_route()],
+        workspaces=[workspace],
     )
-    environment.publish_routes(create_route())
     (upstream,) = environment.publish_upstreams(s=echo)
-    status, headers, body = environment.open_caller().get()
+    status, headers, body = environment.open_caller().get(x_api_key="k")
     environment.stop()
     assert (status, body.split(b":")[0]) == (429, b"quota_exceeded")
     assert float(headers["retry-after"]) > 0.0
