--- a/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
@@ -22,6 +22,9 @@
 # transfer to the entry instance, the wait for other parts, and the caller's answer.
 ANSWER_RESERVE_MS = 10.0
 
+# Requests in `KeptRequests` below which it does not look for those that were sent.
+KEPT_MIN_LIMIT = 32
+
 OutcomeCallback = Callable[[PartOutcome], None]
 AttemptCallback = Callable[[AttemptRequest], None]
 
@@ -149,25 +152,35 @@
     """Queued requests of one service in the order in which they must leave.
 
     Not thread-safe: the pool holds its lock around each call. Requests that were sent
-    or settled are dropped when they come first.
+    or settled are dropped when they come first, or once they are about half of all, as
+    one that waits for long would keep the bodies of all later ones in memory.
     """
 
-    __slots__ = ("_heap", "_counter")
+    __slots__ = ("_heap", "_counter", "_limit")
 
     def __init__(self):
         self._heap: list[tuple[float, int, PendingRequest]] = []
         self._counter = itertools.count()
+        self._limit = KEPT_MIN_LIMIT
 
     def add(self, request: PendingRequest) -> None:
         """Adds a request that was queued."""
         entry = (request.kept_until_ms, next(self._counter), request)
         heapq.heappush(self._heap, entry)
+        if len(self._heap) > self._limit:
+            self._heap = [entry for entry in self._heap if is_unsent(entry[2])]
+            heapq.heapify(self._heap)
+            self._limit = max(KEPT_MIN_LIMIT, 2 * len(self._heap))
+
+    def __len__(self) -> int:
+        """Returns how many requests are held, sent ones among them."""
+        return len(self._heap)
 
     def get_first_end_ms(self) -> float:
         """Returns the earliest `kept_until_ms` of a request; infinity without one."""
         while self._heap:
             until_ms, _, request = self._heap[0]
-            if request.first_send_ms is None and not request.settled:
+            if is_unsent(request):
                 return until_ms
             heapq.heappop(self._heap)
         return float("inf")
@@ -190,6 +203,11 @@
     cause: str
 
 
+def is_unsent(request: PendingRequest) -> bool:
+    """Returns whether a request has no outcome and was not sent yet."""
+    return request.first_send_ms is None and not request.settled
+
+
 def prefer_on_time(now_ms: float) -> Callable[[PendingRequest], bool]:
     """Returns a predicate for requests that are dequeued first within their rank."""
     return lambda request: request.can_be_on_time(now_ms)
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -9,7 +9,12 @@
 from gooseberrymux.forward_exchange import Broken
 from gooseberrymux.forward_messages import PartReplied
 from gooseberrymux.kernel import Kernel
-from gooseberrymux.pending_requests import ANSWER_RESERVE_MS, PendingRequest
+from gooseberrymux.pending_requests import (
+    ANSWER_RESERVE_MS,
+    KEPT_MIN_LIMIT,
+    KeptRequests,
+    PendingRequest,
+)
 from gooseberrymux.pool import Pool, PoolDependencies
 from gooseberrymux.rate_limits import RateLimit
 from gooseberrymux.replica_set import ReplicaSet, measure_load
@@ -289,6 +294,17 @@
     assert load.count_remote() == 2
 
 
+# Guards against memory held by sent requests behind one that waits for long.
+def test_sent_requests_are_dropped_behind_one_that_waits():
+    kept = KeptRequests()
+    for number in range(1_000):
+        state = types.SimpleNamespace(kept_until_ms=number, settled=number > 0)
+        state.first_send_ms = None
+        kept.add(state)
+        assert kept.get_first_end_ms() == 0
+    assert len(kept) <= KEPT_MIN_LIMIT
+
+
 def test_an_owner_in_a_domain_without_upstreams_sends_all_away(monkeypatch):
     load = Load(monkeypatch, records=RECORDS[1:]).run(1_000.0, lambda _: HOME_PER_S)
     assert set(load.shares) == {1.0} and load.count_late() == 0
