--- a/packages/gooseberrymux/src/gooseberrymux/quotas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quotas.py
@@ -55,7 +55,6 @@
     """
 
     __slots__ = (
-        "_kernel",
         "_clock",
         "_peers",
         "_membership",
@@ -76,7 +75,6 @@
     )
 
     def __init__(self, *, kernel: Kernel):
-        self._kernel = kernel
         self._clock = kernel.clock
         self._peers = kernel.find("peers", Peers)
         self._membership = kernel.find("membership", Membership)
