--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -7,6 +7,7 @@
 from result import Err, Ok
 
 from gooseberrymux import admin_bodies, journal, web
+from gooseberrymux.caller_memory import CallerMemory
 from gooseberrymux.configuration import ConfigurationService
 from gooseberrymux.configuration_changes import Change
 from gooseberrymux.configuration_codec import describe_configuration
@@ -21,7 +22,7 @@
 from gooseberrymux.tokens import authenticate
 from gooseberrymux.web import Request, Response
 
-SERVER_THREADS = 8
+SERVER_CONNECTIONS = 64
 # Shorter than the timeout of the operators' clients, so that a response arrives in time
 # and names the instances that have not replied.
 STATUS_TIMEOUT_MS = 1_500
@@ -30,10 +31,17 @@
 
 @service(
     "admin",
-    requires=("configuration", "documents", "inventory", "membership", "status"),
+    requires=(
+        "configuration",
+        "documents",
+        "inventory",
+        "membership",
+        "status",
+        "caller_memory",
+    ),
 )
 class Admin:
-    """Serves the administration API, with one worker thread for each connection."""
+    """Serves the administration API, with one thread for each connection."""
 
     __slots__ = (
         "_kernel",
@@ -54,10 +62,15 @@
 
     def start(self) -> None:
         """Opens the listener."""
-        self._server = web.create_server(
+        memory = self._kernel.find("caller_memory", CallerMemory)
+        self._server = web.create_limited_server(
             address=self._kernel.settings.instance.administration,
-            threads=SERVER_THREADS,
             handle=self.handle,
+            kernel=self._kernel,
+            connections=memory.create_listener(
+                "administration", connections=SERVER_CONNECTIONS
+            ),
+            body_limit_bytes=BODY_LIMIT_BYTES,
         )
         self._server.prepare()
         self._kernel.spawn(name="admin.server", target=self._server.serve)
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -4,45 +4,56 @@
 differently and find another request in the body.
 """
 
+import contextlib
 import dataclasses
+import functools
 import io
-import re
 import socket
-import threading
 from collections.abc import Callable
 
 import cheroot.server
 from cheroot import errors
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.accept_loop import AcceptLoop, ConnectionSet, LimitedConnection
+from gooseberrymux.caller_body import BodyReader, RequestError, create_no_room_error
+from gooseberrymux.caller_budget import (
+    COVERED_BODY_BYTES,
+    IDLE,
+    READING,
+    RUNNING,
+    WRITING,
+)
+from gooseberrymux.caller_head import (
+    list_header_tokens,
+    parse_body_length,
+    read_headers,
+)
+from gooseberrymux.caller_memory import CallerMemory
 from gooseberrymux.clock import MS_PER_S
+from gooseberrymux.drops import DropRecorder
 from gooseberrymux.http_types import (
     Headers,
     HttpReply,
     HttpRequest,
+    find_header,
     select_end_to_end_headers,
 )
 from gooseberrymux.kernel import Kernel
+from gooseberrymux.records import Rank
 from gooseberrymux.routes import CallerLimits
 from gooseberrymux.settings import Address
 
 LISTEN_BACKLOG = 512
-# Longest time until the accept loop notices that the server is stopping.
-STOP_CHECK_INTERVAL_S = 0.2
 # How long a planned stop waits for requests that are being read or answered after all
 # others have ended.
 ANSWER_TIMEOUT_MS = 300.0
-MAX_HEADERS = 128
-HEADER_NAME_PATTERN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+\Z")
-CHUNK_SIZE_PATTERN = re.compile(rb"[0-9A-Fa-f]{1,8}\Z")
-# The next hop could treat one of these bytes as the end of the header.
-FORBIDDEN_VALUE_BYTES = re.compile(rb"[\x00\r\n]")
-# Limit of a chunk-size line or trailer line, with its line break.
-MAX_CHUNK_LINE_BYTES = 256
-# The empty line after the trailers counts.
-MAX_TRAILER_LINES = 32
-# A repeated header of these names would make the request ambiguous.
-UNREPEATABLE_HEADERS = frozenset({"host", "content-length", "transfer-encoding"})
+# A request that waits for its upstream does no work, so its turn counts no more.
+MAX_PIPELINE_WORK_MS = 5.0
+# After a refusal, at most this many reads take what the caller has already sent.
+DISCARD_READS = 16
+DISCARD_BYTES = 65_536
+DISCARD_TIMEOUT_S = 0.1
 
 REASON_PHRASES = {
     200: "OK",
@@ -61,20 +72,6 @@
 }
 
 
-class RequestError(Exception):
-    """Raised for a request that is refused before it reaches the request handler.
-
-    Args:
-        status: HTTP status of the reply.
-        message: One-line explanation; becomes the body of the reply and is logged.
-    """
-
-    def __init__(self, *, status: int, message: str):
-        super().__init__(message)
-        self.status = status
-        self.message = message
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ReceivedRequest:
     """A complete request and the socket that it arrived on."""
@@ -143,9 +140,10 @@
     def respond(self) -> None:
         """Reads the body, calls the request handler and writes the reply."""
         try:
-            body = read_body(
-                self.conn.rfile, length=self.length, limits=self.server.limits
-            )
+            body = self._read_body()
+            self.conn.holder.enter(RUNNING)
+            if self.conn.holder.is_shed:
+                raise create_no_room_error("the connection gave way to others")
         except RequestError as error:
             self.refuse(error)
             return
@@ -165,31 +163,51 @@
                 self.close_connection = True
             case CallerReply(reply=reply, close=close):
                 self.close_connection = self.close_connection or close
-                self.conn.wfile.write(
+                self.conn.write_answer(
                     encode_reply(
                         reply, close=self.close_connection, method=request.method
                     )
                 )
 
+    def _read_body(self) -> bytes:
+        length = self.length
+        reader = self.conn.body_reader
+        if length is not None and length <= COVERED_BODY_BYTES:
+            return reader.read_covered(length)
+        self.conn.holder.rank = self.server.get_rank(
+            find_header(self.headers, "host") or "", self.uri.decode("latin-1")
+        )
+        if length is not None:
+            return reader.read_large(length)
+        return reader.read_chunked(self.server.limits)
+
     def refuse(self, error: RequestError) -> None:
         """Replies to an invalid request with its error and closes the connection."""
         self.close_connection = True
-        metrics.dropped_total.inc({"reason": f"request_refused_{error.status}"})
-        journal.record_event(
-            "front.refused",
-            status=error.status,
-            reason=error.message,
+        if self.conn.holder.is_shed:
+            # The connection was shut down for reading, so the request looks cut off.
+            error = create_no_room_error("the connection gave way to others")
+        self.server.refusals.record(
+            reason=f"request_refused_{error.status}",
+            step="front.read",
             peer=self.conn.remote_addr,
+            detail=error.message,
+        )
+        headers: Headers = ()
+        if error.retry_after_ms is not None:
+            headers = (("retry-after", f"{error.retry_after_ms / MS_PER_S:.3f}"),)
+        reply = create_text_reply(
+            status=error.status, text=error.message, headers=headers
         )
-        reply = create_text_reply(status=error.status, text=error.message)
         self.conn.wfile.write(encode_reply(reply, close=True, method="GET"))
+        self.conn.discard_unread()
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """Replies to a request that cheroot refuses, in place of its own reply."""
         self.refuse(RequestError(status=int(str(status)[:3]), message=msg))
 
 
-class CallerConnection(cheroot.server.HTTPConnection):
+class CallerConnection(LimitedConnection):
     """One caller's connection; a single thread serves it until it is closed."""
 
     RequestHandlerClass = CallerRequest
@@ -200,30 +218,92 @@
         self.rfile = sock.makefile("rb")
         self.wfile = UnbufferedSocketWriter(sock=sock)
 
+    @functools.cached_property
+    def body_reader(self) -> BodyReader:
+        """Reader of the bodies of this connection."""
+        memory = self.server.memory
+        return BodyReader(
+            rfile=self.rfile,
+            holder=self.holder,
+            connections=memory.callers,
+            pieces=memory.pieces,
+            clock=self.server.clock,
+        )
+
     def serve(self) -> None:
         """Serves requests until the caller or this server ends the connection."""
-        while self.wait_for_request() and self.server.begin_request(self):
+        connection_set = self.server.connection_set
+        while self.wait_for_request() and connection_set.begin_request(self):
             try:
-                keeps_open = self.communicate()
+                keeps_open = self.take_turn()
             finally:
-                self.server.end_request(self)
+                connection_set.end_request(self)
+                self.body_reader.release()
             if not keeps_open:
                 return
 
+    def take_turn(self) -> bool:
+        """Serves one request; returns whether the connection stays open.
+
+        A caller that sends many requests before it reads their answers waits for the
+        others that do so.
+        """
+        if self.holder.sends_ahead:
+            return self._communicate_through_gate()
+        return self.communicate()
+
+    def _communicate_through_gate(self) -> bool:
+        gate = self.server.memory.pipelines
+        if not gate.enter(self.server.limits.header_timeout_ms):
+            return False
+        clock = self.server.clock
+        started_ms = clock.now_ms()
+        try:
+            return self.communicate()
+        finally:
+            gate.leave(min(clock.now_ms() - started_ms, MAX_PIPELINE_WORK_MS))
+
     def wait_for_request(self) -> bool:
         """Returns whether a request begins before the idle timeout.
 
         Sets the header timeout on the socket for the reads that follow.
         """
         limits = self.server.limits
+        self.holder.enter(IDLE)
         self.socket.settimeout(limits.idle_timeout_ms / MS_PER_S)
         try:
             has_data = bool(self.rfile.peek(1))
         except OSError:
             return False
+        self.holder.enter(READING)
         self.socket.settimeout(limits.header_timeout_ms / MS_PER_S)
         return has_data
 
+    def write_answer(self, data: bytes) -> None:
+        """Writes an answer; a large one is charged until the caller has taken it."""
+        self.holder.enter(WRITING)
+        if len(data) <= COVERED_BODY_BYTES:
+            self.wfile.write(data)
+            return
+        connections = self.server.connections
+        connections.hold_answer(self.holder, len(data))
+        try:
+            self.wfile.write(data)
+        finally:
+            connections.release(self.holder, len(data))
+
+    def discard_unread(self) -> None:
+        """Reads a little more, so that the caller gets the refusal before a reset.
+
+        The system resets a connection that is closed while data is unread.
+        """
+        self.socket.settimeout(DISCARD_TIMEOUT_S)
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            for _ in range(DISCARD_READS):
+                if not self.socket.recv(DISCARD_BYTES):
+                    return
+
 
 class UnbufferedSocketWriter(io.RawIOBase):
     """Writer without a buffer, so that a reply needs no flush."""
@@ -239,7 +319,7 @@
         return len(data)
 
 
-class CallerServer(cheroot.server.HTTPServer):
+class CallerServer(AcceptLoop, cheroot.server.HTTPServer):
     """HTTP server that callers connect to.
 
     Args:
@@ -247,10 +327,12 @@
         kernel: Spawns the threads of the connections.
         handle: Handles a request in the thread of its connection; may block.
         get_limits: Returns the limits in force; called for each use.
+        memory: Limits what all callers hold together.
+        get_rank: Returns the rank of the requests for a host and target, None without
+            a route; called for large bodies.
     """
 
     ConnectionClass = CallerConnection
-    keep_alive_conn_limit = None
 
     def __init__(
         self,
@@ -259,18 +341,20 @@
         kernel: Kernel,
         handle: RequestHandler,
         get_limits: Callable[[], CallerLimits],
+        memory: CallerMemory,
+        get_rank: Callable[[str, str], Rank | None] = lambda host, target: None,
     ):
         super().__init__((address.host, address.port), gateway=None, minthreads=1)
         self.request_queue_size = LISTEN_BACKLOG
-        self.expiration_interval = STOP_CHECK_INTERVAL_S
+        self.clock = kernel.clock
+        self.memory = memory
+        self.connections = memory.callers
+        self.connection_set = ConnectionSet(clock=kernel.clock)
+        self.refusals = DropRecorder(clock=kernel.clock, event="front.refused")
+        self.get_rank = get_rank
         self._kernel = kernel
         self._handle = handle
         self._get_limits = get_limits
-        self._open_connections: set[CallerConnection] = set()
-        # Connections on which a request is being read, handled or answered.
-        self._busy_connections: set[CallerConnection] = set()
-        self._requests_changed = threading.Condition()
-        self._is_closing = False
 
     @property
     def limits(self) -> CallerLimits:
@@ -286,11 +370,11 @@
         )
 
     def _serve_connection(self, conn: CallerConnection) -> None:
-        self._open_connections.add(conn)
+        self.connection_set.add(conn)
         try:
             conn.serve()
         finally:
-            self._open_connections.discard(conn)
+            self.connection_set.discard(conn)
             conn.close()
 
     def run_handler(
@@ -310,172 +394,9 @@
         """Logs a message of cheroot; its level and traceback are dropped."""
         journal.record_event("front.cheroot", message=msg)
 
-    def begin_request(self, conn: CallerConnection) -> bool:
-        """Records that a request is read from now on; False if it must not be."""
-        with self._requests_changed:
-            if self._is_closing:
-                return False
-            self._busy_connections.add(conn)
-            return True
-
-    def end_request(self, conn: CallerConnection) -> None:
-        """Records that a request was answered, or that its connection failed."""
-        with self._requests_changed:
-            self._busy_connections.discard(conn)
-            self._requests_changed.notify_all()
-
     def close_connections(self) -> None:
-        """Shuts down all connections, which ends their threads.
-
-        A request that is being read or answered has `ANSWER_TIMEOUT_MS` left to end.
-        One that was not begun is left unread, so that its caller can send it elsewhere.
-        """
-        with self._requests_changed:
-            self._is_closing = True
-            idle = self._open_connections - self._busy_connections
-        shut_down(idle)
-        self._wait_for_answers()
-        shut_down(self._open_connections - idle)
-
-    def _wait_for_answers(self) -> None:
-        clock = self._kernel.clock
-        deadline_ms = clock.now_ms() + ANSWER_TIMEOUT_MS
-        with self._requests_changed:
-            while self._busy_connections:
-                remaining_ms = deadline_ms - clock.now_ms()
-                if remaining_ms <= 0:
-                    return
-                clock.wait(self._requests_changed, remaining_ms)
-
-
-def shut_down(connections: set[CallerConnection]) -> None:
-    """Shuts down the sockets of connections."""
-    for conn in connections:
-        try:
-            conn.socket.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The thread of the connection has closed the socket in the meantime.
-            continue
-
-
-def read_headers(rfile) -> Headers:
-    """Returns the headers of a request, names in lower case.
-
-    Raises:
-        RequestError: The headers are malformed, ambiguous or too many.
-    """
-    headers: list[tuple[str, str]] = []
-    seen: set[str] = set()
-    while (line := rfile.readline()) != b"\r\n":
-        if not line.endswith(b"\r\n"):
-            raise RequestError(status=400, message="a header line was cut off")
-        raw_name, separator, value = line[:-2].partition(b":")
-        value = value.strip(b" \t")
-        if not separator or not HEADER_NAME_PATTERN.match(raw_name):
-            raise RequestError(status=400, message="malformed header line")
-        if FORBIDDEN_VALUE_BYTES.search(value):
-            raise RequestError(status=400, message="malformed header value")
-        name = raw_name.decode("latin-1").lower()
-        if name in UNREPEATABLE_HEADERS and name in seen:
-            raise RequestError(status=400, message=f"header {name} is repeated")
-        if len(headers) >= MAX_HEADERS:
-            raise RequestError(status=431, message="too many headers")
-        seen.add(name)
-        headers.append((name, value.decode("latin-1")))
-    return tuple(headers)
-
-
-def parse_body_length(headers: Headers, *, is_http_11: bool) -> int | None:
-    """Returns the length of the body in bytes; None if the body is chunked.
-
-    Raises:
-        RequestError: The Host header is missing, or the framing is malformed,
-            ambiguous or not supported.
-    """
-    fields = dict(headers)
-    length = fields.get("content-length")
-    transfer_coding = fields.get("transfer-encoding")
-    if is_http_11 and "host" not in fields:
-        raise RequestError(status=400, message="no Host header")
-    if transfer_coding is not None:
-        if length is not None or not is_http_11:
-            raise RequestError(status=400, message="the body has two lengths")
-        if transfer_coding.strip().lower() != "chunked":
-            raise RequestError(status=501, message="unknown transfer coding")
-        return None
-    if length is None:
-        return 0
-    if not (length.isascii() and length.isdecimal()):
-        raise RequestError(status=400, message="malformed Content-Length")
-    return int(length)
-
-
-def read_body(rfile, *, length: int | None, limits: CallerLimits) -> bytes:
-    """Reads the whole body.
-
-    Args:
-        rfile: Reader of the connection.
-        length: Length of the body in bytes; None if the body is chunked.
-        limits: Limits of a chunked body; `length` has been checked already.
-
-    Raises:
-        RequestError: The body is malformed, too long or was cut off.
-    """
-    if length is None:
-        return read_chunked_body(rfile, limit_bytes=limits.body_bytes)
-    body = rfile.read(length) if length else b""
-    if len(body) < length:
-        raise RequestError(status=400, message="the body was cut off")
-    return body
-
-
-def read_chunked_body(rfile, *, limit_bytes: int) -> bytes:
-    """Reads a chunked body and its trailers; returns the body without them.
-
-    Raises:
-        RequestError: A chunk or the trailers are malformed, or the body is too long
-            or was cut off.
-    """
-    chunks = []
-    total = 0
-    while size := read_chunk_size(rfile):
-        total += size
-        if total > limit_bytes:
-            raise RequestError(status=413, message="the body is too long")
-        chunk = rfile.read(size + 2)
-        if len(chunk) < size + 2 or not chunk.endswith(b"\r\n"):
-            raise RequestError(status=400, message="a chunk was cut off")
-        chunks.append(chunk[:-2])
-    for _ in range(MAX_TRAILER_LINES):
-        line = rfile.readline(MAX_CHUNK_LINE_BYTES)
-        if line == b"\r\n":
-            return b"".join(chunks)
-        if not line.endswith(b"\r\n"):
-            break
-    raise RequestError(status=400, message="malformed trailers")
-
-
-def read_chunk_size(rfile) -> int:
-    """Reads the line before a chunk; returns the size of the chunk in bytes.
-
-    Raises:
-        RequestError: The line is cut off, too long or holds no valid size.
-    """
-    line = rfile.readline(MAX_CHUNK_LINE_BYTES)
-    size = line.partition(b";")[0].strip(b" \t\r\n")
-    if not line.endswith(b"\r\n") or not CHUNK_SIZE_PATTERN.match(size):
-        raise RequestError(status=400, message="malformed chunk size")
-    return int(size, 16)
-
-
-def list_header_tokens(headers: Headers, name: str) -> frozenset[str]:
-    """Returns the comma-separated tokens of a header, in lower case."""
-    return frozenset(
-        token.strip().lower()
-        for header_name, value in headers
-        if header_name == name
-        for token in value.split(",")
-    )
+        """Shuts down all connections; those with a request have a while to end."""
+        self.connection_set.close(ANSWER_TIMEOUT_MS)
 
 
 def create_text_reply(*, status: int, text: str, headers: Headers = ()) -> HttpReply:
--- a/packages/gooseberrymux/src/gooseberrymux/drops.py
+++ b/packages/gooseberrymux/src/gooseberrymux/drops.py
@@ -1,4 +1,4 @@
-"""Counts dropped peer messages and logs them at a limited rate."""
+"""Counts dropped peer messages and refused callers; logs them at a limited rate."""
 
 import threading
 
@@ -18,10 +18,11 @@
     drops of other pairs are counted and not logged.
     """
 
-    __slots__ = ("_clock", "_lock", "_last_lines", "_counts")
+    __slots__ = ("_clock", "_event", "_lock", "_last_lines", "_counts")
 
-    def __init__(self, *, clock: Clock):
+    def __init__(self, *, clock: Clock, event: str = "peers.dropped"):
         self._clock = clock
+        self._event = event
         self._lock = threading.Lock()
         self._last_lines: dict[tuple[str, str], tuple[float, int]] = {}
         self._counts: dict[str, int] = {}
@@ -48,7 +49,7 @@
                 return False
             self._last_lines[reason, peer] = (now_ms, 0)
         journal.record_event(
-            "peers.dropped",
+            self._event,
             reason=reason,
             step=step,
             peer=peer,
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -7,6 +7,7 @@
 
 from gooseberrymux import caller_server, journal, metrics, web
 from gooseberrymux.admission import Admission
+from gooseberrymux.caller_memory import CallerMemory
 from gooseberrymux.caller_server import (
     CallerDisconnected,
     CallerReply,
@@ -33,7 +34,11 @@
 from gooseberrymux.records import Rank, Refusal, RunState
 from gooseberrymux.routes import CallerLimits, HttpRoute, HttpRouteTable, Routes
 
-HEALTH_THREADS = 2
+HEALTH_CONNECTIONS = 64
+# A health check has no body.
+HEALTH_BODY_LIMIT_BYTES = 1_024
+# Longer values of a refused request are cut off in the log.
+LOGGED_CHARACTERS = 256
 # Random bytes in the id of a request whose caller sends none.
 REQUEST_ID_BYTES = 8
 # Retry-After while this instance has no routes or upstreams yet, or is stopping.
@@ -63,6 +68,7 @@
         "callers",
         "admission",
         "own_delay",
+        "caller_memory",
     ),
 )
 class Gateway:
@@ -76,6 +82,7 @@
         "_disconnect_watcher",
         "_admission",
         "_own_delay",
+        "_memory",
         "_header_names",
         "_caller_server",
         "_health_server",
@@ -94,6 +101,7 @@
         self._disconnect_watcher = kernel.find("callers", DisconnectWatcher)
         self._admission = kernel.find("admission", Admission)
         self._own_delay = kernel.find("own_delay", OwnDelay)
+        self._memory = kernel.find("caller_memory", CallerMemory)
         self._header_names = kernel.settings.gateway.headers
         self._caller_server: CallerServer | None = None
         self._health_server = None
@@ -113,13 +121,19 @@
             kernel=self._kernel,
             handle=self._handle_request,
             get_limits=self._get_limits,
+            memory=self._memory,
+            get_rank=self._get_rank,
         )
         self._caller_server.prepare()
         self._kernel.spawn(name="gateway.callers", target=self._caller_server.serve)
-        self._health_server = web.create_server(
+        self._health_server = web.create_limited_server(
             address=settings.health,
-            threads=HEALTH_THREADS,
             handle=self._handle_health,
+            kernel=self._kernel,
+            connections=self._memory.create_listener(
+                "health", connections=HEALTH_CONNECTIONS
+            ),
+            body_limit_bytes=HEALTH_BODY_LIMIT_BYTES,
         )
         self._health_server.prepare()
         self._kernel.spawn(name="gateway.health", target=self._health_server.serve)
@@ -160,6 +174,12 @@
         table = self._routes.get_current()
         return table.limits if table else CallerLimits()
 
+    def _get_rank(self, host: str, target: str) -> Rank | None:
+        table = self._routes.get_current()
+        if table is None:
+            return None
+        return table.resolve(host=host, path=target).map(get_route_rank).unwrap_or(None)
+
     @property
     def is_ready(self) -> bool:
         """Whether a balancer may send new connections to this instance."""
@@ -328,8 +348,8 @@
                 self._header_names.request_id.lower()
             )
             or "",
-            host=received.request.get_header("host") or "",
-            target=received.request.target,
+            host=(received.request.get_header("host") or "")[:LOGGED_CHARACTERS],
+            target=received.request.target[:LOGGED_CHARACTERS],
             generation=table.generation if table else None,
             upstreams=len(self._inventory.list_upstreams()),
             code=refusal.code,
@@ -352,6 +372,11 @@
         metrics.forward_ms.observe({"rank": rank.value}, elapsed_ms)
 
 
+def get_route_rank(route: HttpRoute) -> Rank:
+    """Returns the rank of a route's requests."""
+    return route.rank
+
+
 def parse_deadline_ms(value: str | None) -> Result[float | None, Refusal]:
     """Returns how many milliseconds the caller will wait; None without a header."""
     if value is None:
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -122,6 +122,11 @@
 callers_left_total = Counter(
     "gooseberrymux_callers_left_total", "Callers that left before their answer."
 )
+callers_shed_total = Counter(
+    "gooseberrymux_callers_shed_total",
+    "Callers' connections refused or closed for lack of room, by listener, action and "
+    "reason.",
+)
 forwards_total = Counter(
     "gooseberrymux_forwards_total", "Forwarded requests by route, rank and status."
 )
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -5,6 +5,7 @@
 would otherwise not see that the peer was restarted.
 """
 
+import contextlib
 import dataclasses
 import secrets
 import threading
@@ -38,6 +39,7 @@
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.sessions import Session, limit_library_threads
 from gooseberrymux.settings import Address
+from gooseberrymux.unproven_pipes import UnprovenPipes
 
 # The codec rejects frames over FRAME_LIMIT_BYTES, and they are counted as drops. Beyond
 # RECEIVE_LIMIT_BYTES pynng closes the connection before the frame is in memory.
@@ -120,6 +122,7 @@
         "_listener",
         "_stopping",
         "_drops",
+        "_unproven",
         "resets",
         "bytes_sent",
         "bytes_received",
@@ -137,6 +140,9 @@
         self._listener: pynng.Pull0 | None = None
         self._stopping = False
         self._drops = DropRecorder(clock=kernel.clock)
+        self._unproven = UnprovenPipes(
+            limit=kernel.settings.caller_limits.unproven_peer_connections
+        )
         self.resets = 0
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -150,9 +156,10 @@
         """Opens the listener and starts the thread that reads from it."""
         address = self._kernel.settings.instance.peers
         limit_library_threads()
-        self._listener = pynng.Pull0(
-            listen=f"tcp://{address}", recv_max_size=RECEIVE_LIMIT_BYTES
-        )
+        self._listener = pynng.Pull0(recv_max_size=RECEIVE_LIMIT_BYTES)
+        self._listener.add_pre_pipe_connect_cb(self._limit_strangers)
+        self._listener.add_post_pipe_remove_cb(self._unproven.discard)
+        self._listener.listen(f"tcp://{address}")
         self._kernel.spawn(name="peers.listener", target=self._receive_frames)
 
     def drain(self, deadline_ms: float) -> None:
@@ -302,6 +309,22 @@
             self.bytes_sent += size
         metrics.peer_bytes_total.add({"direction": "sent"}, size)
 
+    def _limit_strangers(self, pipe: pynng.Pipe) -> None:
+        """Closes the oldest connection without a frame if there are too many.
+
+        Members and seeds have no limit: a fleet that starts connects all at once.
+        """
+        host = get_remote_host(pipe)
+        known = {link.address.host for link in list(self._links.values())}
+        known.update(seed.host for seed in self._kernel.settings.membership.seeds)
+        if host in known:
+            return
+        oldest = self._unproven.add(pipe)
+        if oldest is not None:
+            self._record_drop("unproven_connection", host)
+            with contextlib.suppress(pynng.NNGException):
+                oldest.close()
+
     def _receive_frames(self) -> None:
         assert self._listener is not None
         while not self._stopping:
@@ -326,7 +349,7 @@
                 )
                 return
             case Ok(envelope):
-                pass
+                self._unproven.discard(pipe)
         if envelope.target not in ("", self.identity.name):
             self._record_drop("other_target", envelope.sender, envelope.target)
             return
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -222,6 +222,37 @@
     grace_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallerLimitSettings:
+    """Limits of what all callers of an instance hold together.
+
+    Attributes:
+        memory_bytes: Memory budget; 0 for `memory_share` of the machine's memory.
+        machine_memory_mb: Memory of the machine in MiB; 0 if it is not known.
+        memory_share: Share of the machine's memory.
+        connections: Connections in all; 0 for `descriptor_share` of the descriptors.
+        connections_per_address: Connections of one caller's address; 0 for no limit.
+        descriptors: Descriptors that the process may open; 0 for its own limit.
+        descriptor_share: Share of the descriptors that callers may use.
+        min_bytes_per_s: Callers that send or read more slowly are closed.
+        crowded_bytes_per_s: Callers that do so more slowly give way first.
+        small_piece_share: Share of a processor for bodies of many small chunks.
+        unproven_peer_connections: Connections to the peer port without a valid frame.
+    """
+
+    memory_bytes: Annotated[int, Meta(ge=0)] = 0
+    machine_memory_mb: Annotated[float, Meta(ge=0)] = 0
+    memory_share: Share = 0.4
+    connections: Annotated[int, Meta(ge=0)] = 0
+    connections_per_address: Annotated[int, Meta(ge=0)] = 0
+    descriptors: Annotated[int, Meta(ge=0)] = 0
+    descriptor_share: Share = 0.75
+    min_bytes_per_s: Annotated[float, Meta(ge=0)] = 0.2
+    crowded_bytes_per_s: Annotated[float, Meta(ge=0)] = 256.0
+    small_piece_share: Annotated[float, Meta(gt=0, le=1)] = 0.25
+    unproven_peer_connections: Count = 16
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ForwardingSettings:
     """Limits of extra sends, owners and queues of forwarded requests."""
@@ -246,6 +277,7 @@
     orders: OrderSettings
     gateway: GatewaySettings
     forwarding: ForwardingSettings
+    caller_limits: CallerLimitSettings
     services: list[str]
 
     @property
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -7,14 +7,22 @@
 import threading
 from collections.abc import Callable, Iterable
 
+import cheroot.makefile
 import cheroot.server
 import cheroot.wsgi
 from result import Err, Ok, Result
 
 from gooseberrymux import journal, metrics
+from gooseberrymux.accept_loop import AcceptLoop, ConnectionSet, LimitedConnection
+from gooseberrymux.caller_budget import IDLE, READING
+from gooseberrymux.caller_memory import CallerConnections
+from gooseberrymux.clock import MS_PER_S
+from gooseberrymux.kernel import Kernel
 from gooseberrymux.settings import Address
 
 SHUTDOWN_TIMEOUT_S = 5
+# Between two reads of a request.
+REQUEST_TIMEOUT_S = 10
 HEADER_LIMIT_BYTES = 16 * 1024
 LISTEN_BACKLOG = 256
 STOP_WAKE_INTERVAL_S = 0.02
@@ -73,6 +81,57 @@
 
     A connection is served by one worker thread, of which there are `threads`.
     """
+    server = cheroot.wsgi.Server(
+        (address.host, address.port),
+        create_application(handle),
+        numthreads=threads,
+        request_queue_size=LISTEN_BACKLOG,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+    )
+    server.max_request_header_size = HEADER_LIMIT_BYTES
+    server.ConnectionClass = HeaderLimitedConnection
+    return server
+
+
+def create_limited_server(
+    *,
+    address: Address,
+    handle: Callable[[Request], Response],
+    kernel: Kernel,
+    connections: CallerConnections,
+    body_limit_bytes: int,
+) -> "LimitedServer":
+    """Returns an HTTP server, not yet listening, with a thread for each connection.
+
+    A slow caller holds up no other one, as with a fixed number of threads it would; at
+    the limit of connections the slowest gives way.
+
+    Args:
+        address: Address to listen on.
+        handle: Handles a request.
+        kernel: Spawns the threads.
+        connections: Accounts of the connections.
+        body_limit_bytes: Requests with a larger body get 413.
+    """
+    server = LimitedServer(
+        (address.host, address.port),
+        create_application(handle),
+        numthreads=1,
+        request_queue_size=LISTEN_BACKLOG,
+        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+    )
+    server.max_request_header_size = HEADER_LIMIT_BYTES
+    server.max_request_body_size = body_limit_bytes
+    server.timeout = REQUEST_TIMEOUT_S
+    server.kernel = kernel
+    server.clock = kernel.clock
+    server.connections = connections
+    server.connection_set = ConnectionSet(clock=kernel.clock)
+    return server
+
+
+def create_application(handle: Callable[[Request], Response]) -> Callable:
+    """Returns the WSGI application that calls `handle` for each request."""
 
     def application(environ: dict, start_response: Callable) -> Iterable[bytes]:
         response = run_handler(parse_environ(environ), handle)
@@ -84,16 +143,7 @@
         start_response(STATUS_LINES[response.status], list(headers.items()))
         return [response.body]
 
-    server = cheroot.wsgi.Server(
-        (address.host, address.port),
-        application,
-        numthreads=threads,
-        request_queue_size=LISTEN_BACKLOG,
-        shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-    )
-    server.max_request_header_size = HEADER_LIMIT_BYTES
-    server.ConnectionClass = HeaderLimitedConnection
-    return server
+    return application
 
 
 class HeaderLimitedRequest(cheroot.server.HTTPRequest):
@@ -108,6 +158,15 @@
             status = "431 Request Header Fields Too Large"
         super().simple_response(status, msg)
 
+    def send_headers(self) -> None:
+        """Closes the connection if the handler has left the body unread.
+
+        cheroot would otherwise read the rest of it into memory at once.
+        """
+        if self.chunked_read or getattr(self.rfile, "remaining", 0) > 0:
+            self.close_connection = True
+        super().send_headers()
+
 
 class HeaderLimitedConnection(cheroot.server.HTTPConnection):
     """A connection whose requests are `HeaderLimitedRequest`s."""
@@ -115,6 +174,73 @@
     RequestHandlerClass = HeaderLimitedRequest
 
 
+class LimitedWebConnection(LimitedConnection):
+    """A connection that is served by its own thread, within limits."""
+
+    RequestHandlerClass = HeaderLimitedRequest
+
+    def __init__(self, server, sock, makefile=cheroot.makefile.MakeFile):
+        super().__init__(server, sock, makefile)
+        sock.settimeout(server.timeout)
+
+    def serve(self) -> None:
+        """Serves requests until the caller or this server ends the connection."""
+        connection_set = self.server.connection_set
+        while self._wait_for_request() and connection_set.begin_request(self):
+            try:
+                keeps_open = self.communicate()
+            finally:
+                connection_set.end_request(self)
+            if not keeps_open:
+                return
+
+    def _wait_for_request(self) -> bool:
+        self.holder.enter(IDLE)
+        try:
+            has_data = bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        self.holder.enter(READING)
+        return has_data
+
+
+class LimitedServer(AcceptLoop, cheroot.wsgi.Server):
+    """Server of a listener that few clients need, such as health checks.
+
+    Attributes:
+        kernel: Spawns the threads of the connections.
+        connection_set: Connections to close at a stop.
+    """
+
+    ConnectionClass = LimitedWebConnection
+    kernel: Kernel
+    connection_set: ConnectionSet
+
+    def process_conn(self, conn: LimitedWebConnection) -> None:
+        """Starts the thread of a new connection, in place of cheroot's thread pool."""
+        self.kernel.spawn(
+            name=f"web.{conn.remote_addr}:{conn.remote_port}",
+            target=lambda: self._serve_connection(conn),
+            is_essential=False,
+        )
+
+    def _serve_connection(self, conn: LimitedWebConnection) -> None:
+        self.connection_set.add(conn)
+        try:
+            conn.serve()
+        except ConnectionError:
+            # The client has left before its answer.
+            return
+        finally:
+            self.connection_set.discard(conn)
+            conn.close()
+
+    def stop(self) -> None:
+        """Finishes the requests in flight and closes the listener."""
+        super().stop()
+        self.connection_set.close(SHUTDOWN_TIMEOUT_S * MS_PER_S)
+
+
 def stop_server(server: cheroot.wsgi.Server) -> None:
     """Finishes the requests in flight and closes the listener.
 
--- a/tests/door/test_untrusted_callers.py
+++ b/tests/door/test_untrusted_callers.py
@@ -165,6 +165,12 @@
         check_bounds(door)
 
 
+def test_silent_connections_leave_the_peer_port_bounded(door):
+    with Crowd(door, "peers", [b"\x00SP"], size=MANY_CONNECTIONS):
+        check_bounds(door)
+        assert door.ask_until_answered("callers", ROUTE_PATH) == 200
+
+
 def test_a_single_body_of_small_chunks_within_the_limits_is_served(door):
     # A bound on the work of small pieces must not refuse a legal request of one caller.
     head, chunks = create_open_chunks(ROUTE_PATH)
--- a/tests/machines/test_deploy.py
+++ b/tests/machines/test_deploy.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from gooseberrymux.caller_memory import compute_connections, compute_memory_bytes
 from gooseberrymux.kernel import find_service_class
 from gooseberrymux.settings import parse_settings
 from machines.template import render
@@ -65,6 +66,14 @@
     assert read_settings(bounds=bounds).platform.staleness_bound_ms > 0
 
 
+def test_the_budget_for_callers_follows_from_the_machine():
+    # Guards against callers that fill a small machine, or its descriptors.
+    limits = {**FIELDS["limits"], "memoryMb": 200, "maxFds": 4_100}
+    found = read_settings(limits=limits).caller_limits
+    assert compute_memory_bytes(found) < 100 * 1024 * 1024
+    assert compute_connections(found) < 4_100
+
+
 def test_fractions_and_missing_seeds_are_no_hindrance():
     # Guards against an instance that fails to start on a deployment with fractions as
     # limits or without seeds.
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gooseberrymux.caller_memory import CallerMemory
 from gooseberrymux.caller_server import CallerDisconnected, CallerReply, CallerServer
 from gooseberrymux.clock import Clock
 from gooseberrymux.http_types import HttpReply
@@ -45,6 +46,7 @@
         kernel=kernel,
         handle=handler,
         get_limits=lambda: limits,
+        memory=CallerMemory(kernel=kernel),
     )
     server.prepare()
     kernel.spawn(name="server", target=server.serve)
