--- a/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
@@ -80,6 +80,7 @@
         rate_bytes_per_s: Rate since that sample; None if it is not known.
         window_ms: Time since that sample.
         sends_ahead: Whether the caller sends requests before it reads their answers.
+        answer_number: Rises with each large answer; None while none is written.
     """
 
     __slots__ = (
@@ -94,13 +95,14 @@
         "rate_bytes_per_s",
         "window_ms",
         "sends_ahead",
+        "answer_number",
         "_last_turn",
     )
 
     def __init__(self, *, address: str, number: int = 0):
         self.address = address
         self.number = number
-        self.phase = Phase.IDLE
+        self.phase = IDLE
         self.turn = 0
         self.charged_bytes = CONNECTION_BYTES
         self.rank: Rank | None = None
@@ -109,6 +111,7 @@
         self.rate_bytes_per_s: float | None = None
         self.window_ms = 0.0
         self.sends_ahead = False
+        self.answer_number: int | None = None
         self._last_turn = 0
 
     def enter(self, phase: Phase) -> None:
@@ -243,8 +246,7 @@
         candidates = [
             holder
             for holder in candidates
-            if holder.phase is not Phase.IDLE
-            and holder.charged_bytes > CONNECTION_BYTES
+            if holder.phase is not IDLE and holder.charged_bytes > CONNECTION_BYTES
         ]
         worst = max(candidates, key=self._rate_for_body, default=None)
         if worst is None or worst is requester:
@@ -252,12 +254,42 @@
         worse = self._rate_for_body(worst) > self._rate_for_body(requester)
         return worst if worse else None
 
+    def find_victim_for_answer(self, requester: Holder) -> Holder | None:
+        """Returns the connection that gives way to a large answer, or None.
+
+        An answer is held in any case, as its request has been run. The caller that has
+        been reading a large one for longest gives way, then one whose body is read.
+        """
+        pending_bytes = sum(
+            holder.charged_bytes for holder in self.holders if holder.is_shed
+        )
+        if self.used_bytes - pending_bytes <= self.memory_bytes:
+            return None
+        others = [
+            holder
+            for holder in self.holders
+            if holder is not requester and not holder.is_shed
+        ]
+        writers = [
+            holder
+            for holder in others
+            if holder.phase is WRITING and holder.answer_number is not None
+        ]
+        if writers:
+            return min(writers, key=lambda holder: holder.answer_number)
+        readers = [
+            holder
+            for holder in others
+            if holder.phase is READING and holder.charged_bytes > CONNECTION_BYTES
+        ]
+        return max(readers, key=self._rate_for_body, default=None)
+
     def list_too_slow(self) -> list[Holder]:
         """Returns the connections below the minimum rate."""
         return [
             holder
             for holder in self.holders
-            if holder.phase in (Phase.READING, Phase.WRITING)
+            if holder.phase in (READING, WRITING)
             and holder.has_stayed
             and not holder.is_shed
             and holder.window_ms >= MINIMUM_RATE_WINDOW_MS
@@ -299,10 +331,11 @@
 
     def _rate_for_connection(self, holder: Holder) -> tuple:
         # First those that have sent a part of a request for a while, then idle ones, of
-        # which a balancer keeps many, then those whose request is just being read. The
-        # oldest gives way, as an ordinary request is read in a moment.
-        if holder.phase is Phase.IDLE:
-            return (1, -holder.number)
+        # which a balancer keeps many, then those whose request is just being read, as
+        # an ordinary one is read in a moment. Those that stay for longest come first.
+        if holder.phase is IDLE:
+            idle_ms = holder.window_ms if holder.has_stayed else 0.0
+            return (1, idle_ms, -holder.number)
         if holder.has_stayed:
             return (2, *self._rate_for_body(holder), -holder.number)
         return (0, -holder.number)
--- a/packages/gooseberrymux/src/gooseberrymux/caller_head.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_head.py
@@ -6,6 +6,8 @@
 
 import re
 
+from cheroot import errors
+
 from gooseberrymux.caller_body import RequestError
 from gooseberrymux.http_types import Headers
 
@@ -17,6 +19,35 @@
 UNREPEATABLE_HEADERS = frozenset({"host", "content-length", "transfer-encoding"})
 
 
+class HeadReader:
+    """Reads the lines of one head within the limit of its size.
+
+    In place of cheroot's `SizeCheckWrapper`, which reads each line in several steps.
+
+    Args:
+        rfile: Reader of the connection.
+        limit_bytes: Limit of the whole head.
+    """
+
+    __slots__ = ("_rfile", "_left_bytes")
+
+    def __init__(self, *, rfile, limit_bytes: int):
+        self._rfile = rfile
+        self._left_bytes = limit_bytes
+
+    def readline(self) -> bytes:
+        """Returns the next line with its line break.
+
+        Raises:
+            MaxSizeExceeded: The head is longer than the limit.
+        """
+        line = self._rfile.readline(self._left_bytes + 1)
+        self._left_bytes -= len(line)
+        if self._left_bytes < 0:
+            raise errors.MaxSizeExceeded
+        return line
+
+
 def read_headers(rfile) -> Headers:
     """Returns the headers of a request, names in lower case.
 
--- a/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
@@ -14,6 +14,7 @@
 from gooseberrymux import metrics
 from gooseberrymux.caller_budget import (
     BODY_COPIES,
+    IDLE,
     READING,
     RUNNING,
     WRITING,
@@ -120,9 +121,17 @@
             return True
 
     def hold_answer(self, holder: Holder, count: int) -> None:
-        """Charges an answer, which is held in any case, as its request has been run."""
+        """Charges a large answer until `release_answer`; others may give way to it."""
         with self._changed:
-            self._budget.charge(holder, count)
+            self._budget.charge(holder, BODY_COPIES * count)
+            holder.answer_number = next(self._numbers)
+            while victim := self._budget.find_victim_for_answer(holder):
+                self._shed(victim, REASON_MEMORY)
+
+    def release_answer(self, holder: Holder, count: int) -> None:
+        """Ends the charge of a large answer."""
+        holder.answer_number = None
+        self.release(holder, BODY_COPIES * count)
 
     def release(self, holder: Holder, count: int) -> None:
         """Gives back `count` charged bytes."""
@@ -142,6 +151,8 @@
             for holder, sock in self._sockets.items():
                 if holder.phase in (READING, WRITING):
                     holder.record_progress(now_ms, read_moved_bytes(sock))
+                elif holder.phase is IDLE:
+                    holder.record_progress(now_ms, 0)
                 if holder.phase in (RUNNING, WRITING):
                     holder.record_unread(count_unread_bytes(sock))
             for holder in self._budget.list_too_slow():
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -25,6 +25,7 @@
     WRITING,
 )
 from gooseberrymux.caller_head import (
+    HeadReader,
     list_header_tokens,
     parse_body_length,
     read_headers,
@@ -124,8 +125,8 @@
         """Reads the request line and the headers within the size limit."""
         self.headers: Headers = ()
         self.length: int | None = None
-        self.rfile = cheroot.server.SizeCheckWrapper(
-            self.conn.rfile, self.server.limits.header_bytes
+        self.rfile = HeadReader(
+            rfile=self.conn.rfile, limit_bytes=self.server.limits.header_bytes
         )
         try:
             self.ready = self.read_request_line() and self.read_request_headers()
@@ -290,7 +291,7 @@
         try:
             self.wfile.write(data)
         finally:
-            connections.release(self.holder, len(data))
+            connections.release_answer(self.holder, len(data))
 
     def discard_unread(self) -> None:
         """Reads a little more, so that the caller gets the refusal before a reset.
--- a/tests/door/door.py
+++ b/tests/door/door.py
@@ -39,6 +39,8 @@
 START_ATTEMPTS = 400
 START_PAUSE_MS = 50
 ROUTE_PATH = "/a/x"
+LARGE_PATH = "/a/large"
+LARGE_ANSWER_BYTES = 262_144
 UNKNOWN_PATH = "/nowhere"
 READY_PATH = "/-/ready"
 ADMINISTRATION_PATH = "/v1/configuration"
@@ -65,7 +67,7 @@
             "administration": administration,
             "peers": peers,
         }
-        self._upstream = HttpUpstream(lambda request: request.reply(200, b"served"))
+        self._upstream = HttpUpstream(answer)
         self._store = create_platform(folder=folder, port=store, control_port=control)
         own = {
             "gateway": {
@@ -187,6 +189,12 @@
         return status
 
 
+def answer(request) -> None:
+    """Replies as the upstream: a large body to `LARGE_PATH`, a small one otherwise."""
+    is_large = request.target == LARGE_PATH
+    request.reply(200, b"a" * LARGE_ANSWER_BYTES if is_large else b"served")
+
+
 class Crowd:
     """Hostile callers, each a thread that sends all of its pieces and then stays.
 
--- a/tests/door/test_untrusted_callers.py
+++ b/tests/door/test_untrusted_callers.py
@@ -12,6 +12,7 @@
     CONNECTION_LIMIT,
     CROWD,
     FIXED_OVERHEAD_BYTES,
+    LARGE_PATH,
     LIMITS,
     MEMORY_BUDGET_BYTES,
     OWN_DESCRIPTORS,
@@ -26,6 +27,7 @@
 
 BODY_BYTES = 262_000
 FAR_TOO_LONG_BYTES = 8 * 1024 * 1024
+UNREAD_ANSWERS = 24
 MANY_CONNECTIONS = 3 * CONNECTION_LIMIT
 # Opening of a connection that sends frames to an instance (SP protocol, PUSH).
 PEER_GREETING = b"\x00SP\x00\x00\x50\x00\x00"
@@ -118,6 +120,14 @@
         check_bounds(door)
 
 
+def test_unread_large_answers_leave_room_for_an_ordinary_caller(door):
+    # More answers than the buffers of the system take; each caller reads none.
+    head = f"GET {LARGE_PATH} HTTP/1.1\r\nHost: desk.example\r\n\r\n".encode()
+    with Crowd(door, "callers", [head * UNREAD_ANSWERS]):
+        assert door.ask_until_answered("callers", ROUTE_PATH) == 200
+        check_bounds(door)
+
+
 def test_chunk_extensions_leave_room_for_an_ordinary_caller(door):
     with Crowd(door, "callers", create_open_chunks(ROUTE_PATH, extension=b";a=b")):
         assert door.ask_until_answered("callers", ROUTE_PATH) == 200
