--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -314,13 +314,13 @@
 
         Members and seeds have no limit: a fleet that starts connects all at once.
         """
-        host = get_remote_host(pipe)
+        oldest = self._unproven.add(pipe)
+        if oldest is None:
+            return
+        host = get_remote_host(oldest)
         known = {link.address.host for link in list(self._links.values())}
         known.update(seed.host for seed in self._kernel.settings.membership.seeds)
-        if host in known:
-            return
-        oldest = self._unproven.add(pipe)
-        if oldest is not None:
+        if host not in known:
             self._record_drop("unproven_connection", host)
             with contextlib.suppress(pynng.NNGException):
                 oldest.close()
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -20,6 +20,10 @@
 SETTLE_GRACE_SHARE = 0.47
 DRAIN_GRACE_SHARE = 0.88
 
+# A request with a body of 262,144 bytes is charged for more than half of this, and must
+# fit into the share of the lowest rank.
+MIN_CALLER_MEMORY_BYTES = 1_048_576
+
 # The C loader takes a twentieth of the time of the Python one at each start.
 SafeLoader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
@@ -400,6 +404,12 @@
         )
     if floors > 1:
         problems.append(f"ranks.*.floor_share: {floors:g} together: expected at most 1")
+    memory_bytes = settings.caller_limits.memory_bytes
+    if 0 < memory_bytes < MIN_CALLER_MEMORY_BYTES:
+        problems.append(
+            f"caller_limits.memory_bytes: {memory_bytes}: expected 0 or at least "
+            f"{MIN_CALLER_MEMORY_BYTES}, which one request of legal size takes"
+        )
     if settings.orders.key_margin_ms >= settings.orders.retention_ms:
         problems.append(
             f"orders.key_margin_ms: {settings.orders.key_margin_ms}: expected less "
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -38,6 +38,10 @@
         ({"platform": {"url": "u", "timeout_ms": 0}}, "platform.timeout_ms: 0"),
         ({"ranks": {"urgent": {"floor_share": 1.5}}}, "ranks.urgent.floor_share: 1.5"),
         ({"api": {"threads": 10}}, "api.threads: 10: expected more than 48"),
+        (
+            {"caller_limits": {"memory_bytes": 1000}},
+            "caller_limits.memory_bytes: 1000: expected 0 or at least",
+        ),
         ({"orders": {"key_margin_ms": 86400000}}, "orders.key_margin_ms: 86400000"),
         (
             {"membership": {"seeds": [{"host": "example", "port": 1}]}},
