--- a/packages/gooseberrymux/src/gooseberrymux/caller_body.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_body.py
@@ -5,7 +5,11 @@
 import httptools
 
 from gooseberrymux.caller_budget import BODY_COPIES, COVERED_BODY_BYTES, Holder
-from gooseberrymux.caller_memory import CallerConnections, PieceGate
+from gooseberrymux.caller_memory import (
+    REASON_PIECES,
+    CallerConnections,
+    PieceGate,
+)
 from gooseberrymux.clock import Clock
 from gooseberrymux.routes import CallerLimits
 
@@ -143,6 +147,7 @@
         # Waits for data outside of the gate, so that a slow caller doesn't hold it.
         self._rfile.peek(1)
         if not self._pieces.enter(timeout_ms):
+            self._connections.record_refusal(self._holder, REASON_PIECES)
             raise create_no_room_error("too many bodies of small chunks")
         worked_ms = 0.0
         try:
--- a/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
@@ -221,10 +221,24 @@
         if not self._count_by_address[holder.address]:
             del self._count_by_address[holder.address]
 
-    def has_room_for_body(self, holder: Holder, count: int) -> bool:
-        """Returns whether `count` more bytes fit into the share of the body's rank."""
+    def has_room_for_body(
+        self, holder: Holder, count: int, *, released_bytes: int = 0
+    ) -> bool:
+        """Returns whether `count` more bytes fit into the share of the body's rank.
+
+        Args:
+            holder: The account of the body.
+            count: Number of bytes.
+            released_bytes: Bytes that count as released already.
+        """
         share = BUDGET_SHARE_BY_RANK[holder.rank or Rank.PATIENT]
-        return self.used_bytes + count <= self.memory_bytes * share
+        used_bytes = self.used_bytes - released_bytes
+        return used_bytes + count <= self.memory_bytes * share
+
+    @property
+    def pending_bytes(self) -> int:
+        """What is charged to connections that were asked to end and will release it."""
+        return sum(holder.charged_bytes for holder in self.holders if holder.is_shed)
 
     def charge(self, holder: Holder, count: int) -> None:
         """Charges `count` more bytes, or fewer if it is negative."""
@@ -260,10 +274,7 @@
         An answer is held in any case, as its request has been run. The caller that has
         been reading a large one for longest gives way, then one whose body is read.
         """
-        pending_bytes = sum(
-            holder.charged_bytes for holder in self.holders if holder.is_shed
-        )
-        if self.used_bytes - pending_bytes <= self.memory_bytes:
+        if self.used_bytes - self.pending_bytes <= self.memory_bytes:
             return None
         others = [
             holder
--- a/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
@@ -32,7 +32,7 @@
 ROOM_WAIT_MS = 300.0
 # Connections that are asked to end at a time: making room for each new connection by
 # itself would look at all of them each time.
-SHED_BATCH_SHARE = 1 / 64
+SHED_BATCH = 4
 MEBIBYTE = 1024 * 1024
 # Where the settings name neither a budget nor the machine's memory.
 DEFAULT_MEMORY_BYTES = 256 * MEBIBYTE
@@ -44,6 +44,8 @@
 REASON_CONNECTIONS = "connections"
 REASON_ADDRESS = "connections_per_address"
 REASON_TOO_SLOW = "too_slow"
+REASON_PIECES = "small_pieces"
+REASON_AHEAD = "requests_ahead"
 
 
 class CallerConnections:
@@ -109,17 +111,20 @@
         with self._changed:
             deadline_ms = self._clock.now_ms() + ROOM_WAIT_MS
             while not self._budget.has_room_for_body(holder, needed):
-                victim = self._budget.find_victim(holder)
-                # One that was asked to end before may still have to release its bytes.
-                if victim is None and not self._budget.count_shed():
-                    return False
-                if victim is not None:
-                    self._shed(victim, REASON_MEMORY)
-                if holder.is_shed or not self._wait(deadline_ms):
+                if (
+                    not self._make_room(holder, needed)
+                    or holder.is_shed
+                    or not self._wait(deadline_ms)
+                ):
+                    self._record("refused", REASON_MEMORY, holder.address)
                     return False
             self._budget.charge(holder, needed)
             return True
 
+    def record_refusal(self, holder: Holder, reason: str) -> None:
+        """Counts and logs a request that is refused for lack of room elsewhere."""
+        self._record("refused", reason, holder.address)
+
     def hold_answer(self, holder: Holder, count: int) -> None:
         """Charges a large answer until `release_answer`; others may give way to it."""
         with self._changed:
@@ -168,10 +173,20 @@
                 "memory_limit_bytes": self._budget.memory_bytes,
             }
 
+    def _make_room(self, holder: Holder, needed: int) -> bool:
+        """Asks connections to end until a body will fit; False if it won't."""
+        while not self._budget.has_room_for_body(
+            holder, needed, released_bytes=self._budget.pending_bytes
+        ):
+            victim = self._budget.find_victim(holder)
+            if victim is None:
+                return False
+            self._shed(victim, REASON_MEMORY)
+        return True
+
     def _shed_batch(self) -> bool:
         """Asks some connections to end; returns whether any will."""
-        wanted = max(1, int(self._budget.connections * SHED_BATCH_SHARE))
-        for _ in range(wanted - self._budget.count_shed()):
+        for _ in range(SHED_BATCH - self._budget.count_shed()):
             victim = self._budget.find_victim(None)
             if victim is None:
                 break
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -30,7 +30,7 @@
     parse_body_length,
     read_headers,
 )
-from gooseberrymux.caller_memory import CallerMemory
+from gooseberrymux.caller_memory import REASON_AHEAD, CallerMemory
 from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.http_types import (
@@ -256,6 +256,7 @@
     def _communicate_through_gate(self) -> bool:
         gate = self.server.memory.pipelines
         if not gate.enter(self.server.limits.header_timeout_ms):
+            self.server.connections.record_refusal(self.holder, REASON_AHEAD)
             return False
         clock = self.server.clock
         started_ms = clock.now_ms()
