--- a/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
+++ b/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
@@ -19,6 +19,10 @@
 SHORTAGE_LOG_PERIOD_MS = 1_000.0
 # The caller has left before its connection was accepted. All other errors may last.
 PASSING_ERRORS = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EINTR})
+# After a refusal, at most this many reads take what the caller has already sent.
+DISCARD_READS = 16
+DISCARD_BYTES = 65_536
+DISCARD_TIMEOUT_S = 0.1
 # The loop doesn't wait until a refused caller has taken this answer.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n"
@@ -100,6 +104,18 @@
 
     holder: Holder
 
+    def discard_unread(self) -> None:
+        """Reads a little more, so that the caller gets the refusal before a reset.
+
+        The system resets a connection that is closed while data is unread.
+        """
+        self.socket.settimeout(DISCARD_TIMEOUT_S)
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+            for _ in range(DISCARD_READS):
+                if not self.socket.recv(DISCARD_BYTES):
+                    return
+
     def close(self) -> None:
         """Closes the connection and ends its account."""
         try:
--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -70,7 +70,6 @@
             connections=memory.create_listener(
                 "administration", connections=SERVER_CONNECTIONS
             ),
-            body_limit_bytes=BODY_LIMIT_BYTES,
         )
         self._server.prepare()
         self._kernel.spawn(name="admin.server", target=self._server.serve)
--- a/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
@@ -36,6 +36,8 @@
 MEBIBYTE = 1024 * 1024
 # Where the settings name neither a budget nor the machine's memory.
 DEFAULT_MEMORY_BYTES = 256 * MEBIBYTE
+# Where the system names no limit.
+MAX_DESCRIPTORS = 1 << 20
 # Offsets of tcpi_bytes_acked and tcpi_bytes_received in Linux's struct tcp_info.
 TCP_INFO_OFFSET = 120
 TCP_INFO_LENGTH = 136
@@ -360,6 +362,8 @@
     The other descriptors stay free for links with peers, upstreams and the store.
     """
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        soft_limit = MAX_DESCRIPTORS
     descriptors = min(limits.descriptors or soft_limit, soft_limit)
     most = max(1, int(descriptors * limits.descriptor_share))
     return min(limits.connections, most) if limits.connections else most
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -4,7 +4,6 @@
 differently and find another request in the body.
 """
 
-import contextlib
 import dataclasses
 import functools
 import io
@@ -51,10 +50,6 @@
 ANSWER_TIMEOUT_MS = 300.0
 # A request that waits for its upstream does no work, so its turn counts no more.
 MAX_PIPELINE_WORK_MS = 5.0
-# After a refusal, at most this many reads take what the caller has already sent.
-DISCARD_READS = 16
-DISCARD_BYTES = 65_536
-DISCARD_TIMEOUT_S = 0.1
 
 REASON_PHRASES = {
     200: "OK",
@@ -294,18 +289,6 @@
         finally:
             connections.release_answer(self.holder, len(data))
 
-    def discard_unread(self) -> None:
-        """Reads a little more, so that the caller gets the refusal before a reset.
-
-        The system resets a connection that is closed while data is unread.
-        """
-        self.socket.settimeout(DISCARD_TIMEOUT_S)
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_WR)
-            for _ in range(DISCARD_READS):
-                if not self.socket.recv(DISCARD_BYTES):
-                    return
-
 
 class UnbufferedSocketWriter(io.RawIOBase):
     """Writer without a buffer, so that a reply needs no flush."""
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -35,8 +35,6 @@
 from gooseberrymux.routes import CallerLimits, HttpRoute, HttpRouteTable, Routes
 
 HEALTH_CONNECTIONS = 64
-# A health check has no body.
-HEALTH_BODY_LIMIT_BYTES = 1_024
 # Longer values of a refused request are cut off in the log.
 LOGGED_CHARACTERS = 256
 # Random bytes in the id of a request whose caller sends none.
@@ -133,7 +131,6 @@
             connections=self._memory.create_listener(
                 "health", connections=HEALTH_CONNECTIONS
             ),
-            body_limit_bytes=HEALTH_BODY_LIMIT_BYTES,
         )
         self._health_server.prepare()
         self._kernel.spawn(name="gateway.health", target=self._health_server.serve)
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -99,7 +99,6 @@
     handle: Callable[[Request], Response],
     kernel: Kernel,
     connections: CallerConnections,
-    body_limit_bytes: int,
 ) -> "LimitedServer":
     """Returns an HTTP server, not yet listening, with a thread for each connection.
 
@@ -111,7 +110,6 @@
         handle: Handles a request.
         kernel: Spawns the threads.
         connections: Accounts of the connections.
-        body_limit_bytes: Requests with a larger body get 413.
     """
     server = LimitedServer(
         (address.host, address.port),
@@ -121,7 +119,6 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
     )
     server.max_request_header_size = HEADER_LIMIT_BYTES
-    server.max_request_body_size = body_limit_bytes
     server.timeout = REQUEST_TIMEOUT_S
     server.kernel = kernel
     server.clock = kernel.clock
@@ -192,6 +189,7 @@
             finally:
                 connection_set.end_request(self)
             if not keeps_open:
+                self.discard_unread()
                 return
 
     def _wait_for_request(self) -> bool:
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -10,7 +10,11 @@
 from result import Ok
 
 from gooseberrymux import web
+from gooseberrymux.caller_memory import CallerMemory
+from gooseberrymux.clock import Clock
+from gooseberrymux.kernel import Kernel
 from gooseberrymux.settings import Address
+from harness import create_settings
 
 
 @contextlib.contextmanager
@@ -87,3 +91,29 @@
         valid_request = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
         assert b" 200 " in send_raw_request(address, valid_request)
         assert len(handled) == 1
+
+
+def test_a_body_above_the_limit_gets_the_documented_answer_and_is_not_read():
+    # Guards against a body that is read into memory only to be thrown away, and
+    # against an answer that the caller loses because the connection is reset.
+    def handle(request):
+        refused = web.read_json(request, limit_bytes=100)
+        return refused.unwrap_err()
+
+    kernel = Kernel(settings=create_settings(), clock=Clock())
+    server = web.create_limited_server(
+        address=Address(host="127.0.0.1", port=0),
+        handle=handle,
+        kernel=kernel,
+        connections=CallerMemory(kernel=kernel).create_listener("t", connections=4),
+    )
+    server.prepare()
+    kernel.spawn(name="server", target=server.serve)
+    try:
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000000\r\n\r\n"
+        with socket.create_connection(server.bind_addr, timeout=10) as sock:
+            sock.sendall(head + b"a" * 300_000)
+            reply = sock.makefile("rb").read()
+    finally:
+        web.stop_server(server)
+    assert b" 413 " in reply and b"too_large" in reply
