--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -165,6 +165,11 @@
 callers_left_total = Counter(
     "gooseberrymux_callers_left_total", "Callers that left before their answer."
 )
+callers_shed_total = Counter(
+    "gooseberrymux_callers_shed_total",
+    "Callers' connections refused or closed for lack of room, by listener, action and "
+    "reason.",
+)
 forwards_total = Counter(
     "gooseberrymux_forwards_total", "Forwarded requests by route, rank and status."
 )
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -5,6 +5,7 @@
 would otherwise not see that the peer was restarted.
 """
 
+import contextlib
 import dataclasses
 import secrets
 import threading
@@ -39,6 +40,7 @@
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.sessions import Session, limit_library_threads
 from gooseberrymux.settings import Address
+from gooseberrymux.unproven_pipes import UnprovenPipes
 
 # The codec rejects frames over FRAME_LIMIT_BYTES, and they are counted as drops. Beyond
 # RECEIVE_LIMIT_BYTES pynng closes the connection before the frame is in memory.
@@ -121,6 +123,7 @@
         "_listener",
         "_stopping",
         "_drops",
+        "_unproven",
         "resets",
         "bytes_sent",
         "bytes_received",
@@ -138,6 +141,9 @@
         self._listener: pynng.Pull0 | None = None
         self._stopping = False
         self._drops = DropRecorder(clock=kernel.clock)
+        self._unproven = UnprovenPipes(
+            limit=kernel.settings.caller_limits.unproven_peer_connections
+        )
         self.resets = 0
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -151,9 +157,10 @@
         """Opens the listener and starts the thread that reads from it."""
         address = self._kernel.settings.instance.peers
         limit_library_threads()
-        self._listener = pynng.Pull0(
-            listen=f"tcp://{address}", recv_max_size=RECEIVE_LIMIT_BYTES
-        )
+        self._listener = pynng.Pull0(recv_max_size=RECEIVE_LIMIT_BYTES)
+        self._listener.add_pre_pipe_connect_cb(self._limit_strangers)
+        self._listener.add_post_pipe_remove_cb(self._unproven.discard)
+        self._listener.listen(f"tcp://{address}")
         self._kernel.spawn(name="peers.listener", target=self._receive_frames)
 
     def drain(self, deadline_ms: float) -> None:
@@ -303,6 +310,22 @@
             self.bytes_sent += size
         metrics.peer_bytes_total.add({"direction": "sent"}, size)
 
+    def _limit_strangers(self, pipe: pynng.Pipe) -> None:
+        """Closes the oldest connection without a frame if there are too many.
+
+        Members and seeds have no limit: a fleet that starts connects all at once.
+        """
+        oldest = self._unproven.add(pipe)
+        if oldest is None:
+            return
+        host = get_remote_host(oldest)
+        known = {link.address.host for link in list(self._links.values())}
+        known.update(seed.host for seed in self._kernel.settings.membership.seeds)
+        if host not in known:
+            self._record_drop("unproven_connection", host)
+            with contextlib.suppress(pynng.NNGException):
+                oldest.close()
+
     def _receive_frames(self) -> None:
         assert self._listener is not None
         while not self._stopping:
@@ -327,7 +350,7 @@
                 )
                 return
             case Ok(envelope):
-                pass
+                self._unproven.discard(pipe)
         if envelope.target not in ("", self.identity.name):
             self._record_drop("other_target", envelope.sender, envelope.target)
             return
