--- a/packages/gooseberrymux/src/gooseberrymux/main.py
+++ b/packages/gooseberrymux/src/gooseberrymux/main.py
@@ -9,7 +9,6 @@
 import typer
 
 from gooseberrymux import journal
-from gooseberrymux.allocator import limit_allocator
 from gooseberrymux.clock import Clock
 from gooseberrymux.errors import UserError
 from gooseberrymux.kernel import Kernel
@@ -34,7 +33,6 @@
 def run(settings: SettingsOption) -> None:
     """Runs one entry instance until it is told to stop."""
     checked = load_or_exit(settings)
-    limit_allocator()
     clock = Clock()
     log_writer = journal.open_journal(instance=checked.instance.name, clock=clock)
     failure = run_instance(checked, path=settings, clock=clock, log_writer=log_writer)
