--- a/packages/gooseberrymux/src/gooseberrymux/merging.py
+++ b/packages/gooseberrymux/src/gooseberrymux/merging.py
@@ -16,6 +16,10 @@
 )
 
 RECORD_BYTES = 16
+# Merged parts are sent this long before the entry answers, as a message takes that long
+# to reach a small entry and to be decoded there. Parts that arrive later would make an
+# answer late that has too few parts without them.
+FLUSH_LEAD_MS = 6.0
 
 Reply = Callable[[PartOutcome], None]
 
--- a/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
@@ -12,6 +12,7 @@
     PartOutcome,
     PartReplied,
 )
+from gooseberrymux.merging import FLUSH_LEAD_MS
 from gooseberrymux.replicas import LatencyEstimate, Replica
 
 REASON_NO_REPLICA = "no_replica"
@@ -142,6 +143,15 @@
         self.attempts_on_request -= 1
         self.attempts_left += 1
 
+    @property
+    def useful_until_ms(self) -> float:
+        """When its reply must have arrived to be part of an answer that is on time."""
+        until_ms = self.call.target_ms - ANSWER_RESERVE_MS
+        if self.call.top:
+            # Later parts reach the entry after it has answered without them.
+            until_ms = min(until_ms, self.call.answer_ms - FLUSH_LEAD_MS)
+        return self.arrived_ms + until_ms
+
     def can_be_on_time(self, now_ms: float) -> bool:
         """Returns whether an exchange that starts now can meet the latency target."""
         target_at_ms = self.arrived_ms + self.call.target_ms - ANSWER_RESERVE_MS
--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -467,8 +467,8 @@
         soonest_ms = HEDGE_MIN_MEDIANS * request.latency.median_ms
         delay_ms = request.latency.p95_ms
         if request.can_be_on_time(now_ms):
-            target_left_ms = request.arrived_ms + request.call.target_ms - now_ms
-            delay_ms = min(delay_ms, target_left_ms - soonest_ms)
+            useful_ms = request.useful_until_ms - now_ms
+            delay_ms = min(delay_ms, useful_ms - soonest_ms)
         return max(soonest_ms, delay_ms)
 
     def _hedge(self, request: PendingRequest) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -17,7 +17,7 @@
 )
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
-from gooseberrymux.merging import Collector
+from gooseberrymux.merging import FLUSH_LEAD_MS, Collector
 from gooseberrymux.message_ages import MessageAges
 from gooseberrymux.peers import Peers
 from gooseberrymux.pending_requests import (
@@ -32,10 +32,6 @@
 from gooseberrymux.routes import Routes
 from gooseberrymux.timers import Timers
 
-# Merged parts are sent this long before the entry answers, as a message takes that long
-# to reach a small entry and to be decoded there. Parts that arrive later would make an
-# answer late that has too few parts without them.
-FLUSH_LEAD_MS = 6.0
 # A shorter delay of a call is within the margin that deadlines have anyway.
 DELAY_IGNORED_MS = 2.0
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -19,9 +19,12 @@
     PartUnknown,
 )
 from gooseberrymux.kernel import Kernel, LeaveStarted
+from gooseberrymux.merging import FLUSH_LEAD_MS
+from gooseberrymux.pending_requests import PendingRequest
+from gooseberrymux.pool import HEDGE_MIN_MEDIANS
 from gooseberrymux.pools import Pools
 from gooseberrymux.records import Rank, UpstreamState
-from gooseberrymux.replicas import Replica
+from gooseberrymux.replicas import LatencyEstimate, Replica
 from gooseberrymux.reply_memory import ReplyMemory
 from harness import (
     FakeDocuments,
@@ -611,6 +614,33 @@
     owner.pools.cancel(CancelForward(id=call.id, services=["t"]))
 
 
+def test_a_part_is_hedged_in_time_for_the_answer_of_its_entry(owner):
+    """Guards against hedges whose replies come after the entry has answered.
+
+    Load: one of many upstreams pauses; its part is asked for elsewhere while the reply
+    can still be merged.
+    """
+    pool = owner.pools._get_or_create_pool("s")
+    latency = LatencyEstimate(median_ms=4.0, p95_ms=30.0)
+    delays_ms = []
+    for call in (
+        create_call(target_ms=45.0, top=5, answer_ms=30.0),
+        create_call(target_ms=45.0),
+    ):
+        request = PendingRequest(
+            call=call,
+            on_outcome=owner.outcomes.append,
+            request_attempt=owner.attempt_requests.append,
+            requester="",
+            now_ms=0.0,
+            head=b"",
+            latency=latency,
+        )
+        delays_ms.append(pool._compute_hedge_delay_ms(request, 0.0))
+    reply_ms = HEDGE_MIN_MEDIANS * latency.median_ms
+    assert delays_ms == [30.0 - FLUSH_LEAD_MS - reply_ms, 45.0 - 10.0 - reply_ms]
+
+
 def test_the_instances_of_a_service_are_described(owner):
     owner.add_upstream("u1", answer)
     owner.submit()
