--- a/packages/gooseberrymux/src/gooseberrymux/pool.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pool.py
@@ -39,7 +39,7 @@
 from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.route_latencies import RouteLatencies
 from gooseberrymux.schedule import RANKS, RankQueue, create_scheduling_policy
-from gooseberrymux.spillover import Demand
+from gooseberrymux.spillover import Arrival
 from gooseberrymux.timers import Timers
 
 REASON_QUEUE_FULL = "queue_full"
@@ -243,13 +243,13 @@
         self._deliver_outcomes()
 
     def apply_evacuations(self) -> None:
-        """Sends waiting requests to where it is allowed now, or refuses them.
+        """Dispatches queued requests after the evacuated domains have changed.
 
         They are refused as not run if no upstream is left that may get them.
         """
         with self._lock:
             self._dispatch(self._clock.now_ms())
-            if not self._replicas.has_open():
+            if not self._replicas.has_eligible():
                 waiting = [*self._resend_queue, *self._queue.remove(lambda _: True)]
                 self._resend_queue = []
                 for request in waiting:
@@ -294,18 +294,18 @@
         return None
 
     def _start_keeping(self, request: PendingRequest, now_ms: float) -> None:
-        """Decides until when a new request may wait for this failure domain."""
+        """Sets until when a new request may wait for this failure domain."""
         if not self._replicas.spillover.is_adaptive:
             return
         is_backlog = self._kept.get_first_end_ms() <= now_ms
-        demand = Demand(
+        arrival = Arrival(
             waiting=len(self._queue) if is_backlog else 0,
             median_ms=request.latency.median_ms,
             p95_ms=request.latency.p95_ms,
             latest_ms=request.latest_end_ms,
             size_bytes=len(request.head) + len(request.call.body),
         )
-        request.kept_until_ms = self._replicas.record_arrival(demand, now_ms)
+        request.kept_until_ms = self._replicas.record_arrival(arrival, now_ms)
 
     def _estimate_wait_ms(self, request: PendingRequest, now_ms: float) -> float:
         prefer = prefer_on_time(now_ms) if request.can_be_on_time(now_ms) else None
@@ -380,7 +380,7 @@
         return True
 
     def _send_anywhere(self, request: PendingRequest, now_ms: float) -> bool:
-        """Sends a request that would be refused, if a slot is kept free elsewhere."""
+        """Sends a request that the queue refuses, if any domain has a free slot."""
         if not self._replicas.spillover.is_adaptive:
             return False
         request.kept_until_ms = now_ms
--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -12,14 +12,14 @@
 from gooseberrymux.spillover import (
     CLEAR_DIFFERENCE,
     REMOTE_DOMAIN_COST,
-    Demand,
+    Arrival,
     DomainLoad,
     Spillover,
     create_spillover_policy,
 )
 
 UNLIMITED_CONNECTIONS = 1 << 16
-# While the instances disagree about the owner of a service, the one before may still
+# While the instances disagree about the owner of a service, the previous one may still
 # send at the whole rate of a cold upstream. An owner that had no request of the service
 # for this long counts as new for as long, and sends at this share of the rate: both
 # together stay below 1.5 times the rate, which cold upstreams tolerate.
@@ -75,8 +75,8 @@
         self._get_connection_limit = get_connection_limit
         self._get_cold_rate = get_cold_rate
         self._has_cold_limits = False
-        # When the cold upstreams were last looked at, and since when they were without
-        # a pause, in monotonic milliseconds.
+        # Monotonic times in milliseconds: of the latest update of the cold limits, and
+        # of the first update since the last gap of `OWNER_OVERLAP_MS`.
         self._refreshed_ms = float("-inf")
         self._owner_since_ms = float("-inf")
         self._domain = kernel.settings.instance.failure_domain
@@ -178,7 +178,7 @@
             and find_obstacle(replica.record) is None
         ]
 
-    def has_open(self) -> bool:
+    def has_eligible(self) -> bool:
         """Returns whether an upstream is neither leaving nor in an evacuated domain."""
         return any(
             self._inventory.find_obstacle(replica.record) is None
@@ -241,7 +241,7 @@
             wait_medians: Expected wait for an upstream that is not slow, in median
                 exchange times.
             is_kept: Whether the request may still wait for an upstream in this failure
-                domain, if there is a healthy one and spillover says so.
+                domain. It waits only for a healthy one, and if spillover says so.
         """
         connection_limit = self._connection_limit
         crossing_cost = self.spillover.crossing_cost
@@ -316,7 +316,7 @@
     def _is_home(self, replica: Replica) -> bool:
         return replica.record.failure_domain == self._domain
 
-    def record_arrival(self, demand: Demand, now_ms: float) -> float:
+    def record_arrival(self, arrival: Arrival, now_ms: float) -> float:
         """Updates spillover; returns until when the new request is kept at home.
 
         The result is not above `now_ms` if the request may leave at once.
@@ -326,7 +326,7 @@
         loads = self._measure_domains(now_ms)
         home = loads.pop(self._domain, None)
         return self.spillover.record_arrival(
-            demand, home=home, remote=loads, now_ms=now_ms
+            arrival, home=home, remote=loads, now_ms=now_ms
         )
 
     def record_send(self, replica: Replica, cause: str, *, is_first: bool) -> None:
@@ -420,7 +420,7 @@
 
 
 def is_clearly_better(options: list[Option], home: list[Option]) -> bool:
-    """Returns whether the evidence alone is reason enough not to use the home domain.
+    """Returns whether the best option beats those at home whatever the share is.
 
     Args:
         options: All options, those at home among them.
--- a/packages/gooseberrymux/src/gooseberrymux/spillover.py
+++ b/packages/gooseberrymux/src/gooseberrymux/spillover.py
@@ -15,16 +15,16 @@
 # cost of one busy slot, so that traffic leaves the domain only if the upstream there
 # does not keep pace.
 REMOTE_DOMAIN_COST = 0.5
-# Difference in medians between upstreams that counts without the share. A pause of both
-# slots of an upstream leaves a difference of 0.7 in its evidence, half the usual speed
-# one of 1.0 or more.
+# From this difference on, in medians, the better upstream is used whatever the share.
+# The evidence of an upstream differs by 0.7 after a pause of both its slots, and by 1.0
+# or more at half the usual speed.
 CLEAR_DIFFERENCE = 0.9
-# The share is a whole number of steps, so that it and its credit are exact. A step up
-# each `STEP_UP_MS`, 0.5 a second, follows demand that swings by 0.55 with a period of
-# 13 s: it changes by at most 0.27 of its mean a second.
+# The share is a whole number of steps, so that it and its credit are exact. One step up
+# each `STEP_UP_MS` is 0.5 a second. Demand that swings by 0.55 with a period of 13 s
+# changes by at most 0.27 of its mean a second.
 STEPS = 20
 STEP_UP_MS = 100.0
-# Down at half that speed: sending too much away costs traffic, too little costs time.
+# Half as fast: a share that is too high costs traffic, one that is too low costs time.
 STEP_DOWN_MS = 200.0
 # The share rises once home takes longer than the remote domain by more than this
 # multiple of the cost of crossing, falls below the lower one, and stays between them.
@@ -33,8 +33,8 @@
 # Least cost in median exchange times that these factors apply to, so that there is
 # hysteresis also where crossing is free.
 MIN_COST_MEDIANS = 0.1
-# Parts of a domain's slots that are busy on average: the domain counts as short from
-# the first on, and until its load has fallen below the second.
+# Average shares of a domain's slots that are busy. The domain counts as short of
+# capacity from the first share on, and until its load has fallen below the second.
 SHORT_BUSY_SHARE = 0.9
 RELIEVED_BUSY_SHARE = 0.75
 # Averages cover about the last second; at low rates one sample counts for a quarter.
@@ -90,11 +90,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Demand:
+class Arrival:
     """One request that has arrived, and what waits before it.
 
     Attributes:
-        waiting: Queued requests that may leave and still wait, as no domain has room.
+        waiting: Queued requests that may leave and still wait, as no domain has a free
+            slot.
         median_ms: Usual duration of its exchange.
         p95_ms: 95th percentile of it.
         latest_ms: When its exchange must end, for its target and its deadline.
@@ -181,11 +182,11 @@
 
     @property
     def may_leave(self) -> bool:
-        """Whether the share lets the next request leave that could stay."""
+        """Whether the share lets the next request leave, although it could stay."""
         return self._steps == STEPS or self._credit >= STEPS
 
     def is_short(self, domain: str) -> bool:
-        """Returns whether a domain has too little room for requests from others."""
+        """Returns whether a domain has no capacity to spare for other domains."""
         return domain in self._short
 
     def record_leave(self) -> None:
@@ -200,7 +201,7 @@
 
     def record_arrival(
         self,
-        demand: Demand,
+        arrival: Arrival,
         *,
         home: DomainLoad | None,
         remote: Mapping[str, DomainLoad],
@@ -209,33 +210,33 @@
         """Updates the share, and returns until when the new request is kept at home.
 
         Args:
-            demand: The request that has arrived.
+            arrival: The request that has arrived.
             home: Load of the home domain; None without a usable upstream.
             remote: Loads of the remote domains that have a usable upstream.
             now_ms: Monotonic time in milliseconds.
         """
-        self._median_ms = max(1.0, demand.median_ms)
+        self._median_ms = max(1.0, arrival.median_ms)
         if self._size_bytes is None:
-            self._size_bytes = float(demand.size_bytes + REPLY_HEAD_BYTES)
+            self._size_bytes = float(arrival.size_bytes + REPLY_HEAD_BYTES)
         self._crossing_ms = self._compute_crossing_ms(self._size_bytes)
-        self._sample_remote(demand, remote, now_ms)
-        self._sample_home(demand, home, now_ms)
+        self._sample_remote(arrival, remote, now_ms)
+        self._sample_home(arrival, home, now_ms)
         self._sampled_ms = now_ms
         self._step(home, now_ms)
         self._credit = min(STEPS, self._credit + self._steps)
-        self._record_change(demand, home, remote, now_ms)
+        self._record_change(arrival, home, remote, now_ms)
         if home is None:
             return now_ms
         duration = max(load.duration for load in (home, *remote.values()))
         spare_ms = (
-            demand.latest_ms
+            arrival.latest_ms
             - now_ms
             - self._crossing_ms
-            - duration * demand.p95_ms
-            - HEDGE_MEDIANS * demand.median_ms
+            - duration * arrival.p95_ms
+            - HEDGE_MEDIANS * arrival.median_ms
         )
         # A wait as long as the cost of crossing is at most twice as bad as the better
-        # choice, whenever home gets free.
+        # choice, whenever a slot at home becomes free.
         return now_ms + max(0.0, min(self._crossing_ms, spare_ms))
 
     def _compute_crossing_ms(self, size_bytes: float) -> float:
@@ -250,17 +251,17 @@
         return min(SAMPLE_WEIGHT_LIMIT, 1.0 - math.exp(-age_ms / AVERAGE_MS))
 
     def _sample_home(
-        self, demand: Demand, home: DomainLoad | None, now_ms: float
+        self, arrival: Arrival, home: DomainLoad | None, now_ms: float
     ) -> None:
         """Adds the time that the new request would take at home to the average."""
         if home is None:
             self._home_ms = None
             return
-        home_ms = estimate_ms(home, demand)
+        home_ms = estimate_ms(home, arrival)
         self._home_ms = average(self._home_ms, home_ms, self._compute_weight(now_ms))
 
     def _sample_remote(
-        self, demand: Demand, remote: Mapping[str, DomainLoad], now_ms: float
+        self, arrival: Arrival, remote: Mapping[str, DomainLoad], now_ms: float
     ) -> None:
         """Adds the loads of the remote domains, and finds those that are short."""
         weight = self._compute_weight(now_ms)
@@ -276,7 +277,7 @@
             or (busy > RELIEVED_BUSY_SHARE and domain in self._short)
         }
         found_ms = [
-            estimate_ms(load, demand, crossing_ms=self._crossing_ms)
+            estimate_ms(load, arrival, crossing_ms=self._crossing_ms)
             for domain, load in remote.items()
             if domain not in self._short
         ]
@@ -304,7 +305,7 @@
 
     def _record_change(
         self,
-        demand: Demand,
+        arrival: Arrival,
         home: DomainLoad | None,
         remote: Mapping[str, DomainLoad],
         now_ms: float,
@@ -322,7 +323,7 @@
             home_ms=round_ms(self._home_ms),
             remote_ms=round_ms(self._remote_ms),
             crossing_ms=round_ms(self._crossing_ms),
-            waiting=demand.waiting,
+            waiting=arrival.waiting,
             home_slots=home.slots if home else 0,
             home_busy=home.busy if home else 0,
             remote_slots={domain: load.slots for domain, load in remote.items()},
@@ -331,7 +332,9 @@
         self._logged_steps, self._logged_ms = self._steps, now_ms
 
 
-def estimate_ms(load: DomainLoad, demand: Demand, *, crossing_ms: float = 0.0) -> float:
+def estimate_ms(
+    load: DomainLoad, arrival: Arrival, *, crossing_ms: float = 0.0
+) -> float:
     """Returns the expected wait and duration of a request in a domain.
 
     Requests that are kept at home don't count as waiting: as a higher share ends their
@@ -339,17 +342,17 @@
 
     Args:
         load: The domain.
-        demand: The request.
+        arrival: The request.
         crossing_ms: Cost of crossing. Observed durations contain its time, which must
             not count twice; the time beyond the median is taken for it.
     """
-    duration_ms = load.duration * demand.median_ms
-    if duration_ms > demand.median_ms:
-        duration_ms = max(demand.median_ms, duration_ms - crossing_ms)
+    duration_ms = load.duration * arrival.median_ms
+    if duration_ms > arrival.median_ms:
+        duration_ms = max(arrival.median_ms, duration_ms - crossing_ms)
     if not load.slots:
-        # When a stalled upstream will go on is not known.
-        return duration_ms + demand.p95_ms
-    ahead = max(0.0, load.busy + demand.waiting + 1 - load.slots)
+        # It is not known when a stalled upstream will resume.
+        return duration_ms + arrival.p95_ms
+    ahead = max(0.0, load.busy + arrival.waiting + 1 - load.slots)
     return duration_ms * (1.0 + ahead / load.slots)
 
 
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -20,7 +20,7 @@
 from gooseberrymux.replica_set import ReplicaSet, measure_load
 from gooseberrymux.replicas import LatencyEstimate
 from gooseberrymux.route_latencies import RouteLatencies
-from gooseberrymux.spillover import Adaptive, Demand, DomainLoad, Spillover
+from gooseberrymux.spillover import Adaptive, Arrival, DomainLoad, Spillover
 from harness import SteppingClock, create_reply_memory, create_settings
 from test_pool import create_call
 from test_replica_set import RECORDS, FakeInventory, create_reply
@@ -185,7 +185,7 @@
 def test_a_remote_domain_that_is_itself_short():
     policy = Adaptive(crossing_ms=3.0, crossing_ms_per_kb=0.5)
     spillover = Spillover(service="s", policy=policy)
-    demand = Demand(
+    arrival = Arrival(
         waiting=0, median_ms=12.0, p95_ms=24.0, latest_ms=1e9, size_bytes=500
     )
     home = DomainLoad(slots=2, busy=4, duration=1.0)
@@ -193,7 +193,7 @@
     for now_ms in range(0, 24_000, 20):
         busy = 0 if 8_000 <= now_ms < 16_000 else 2
         remote = {"b": DomainLoad(slots=2, busy=busy, duration=1.0)}
-        spillover.record_arrival(demand, home=home, remote=remote, now_ms=now_ms)
+        spillover.record_arrival(arrival, home=home, remote=remote, now_ms=now_ms)
         found.append((spillover.share, spillover.is_short("b")))
     assert found[399::400] == [(0.0, True), (1.0, False), (0.0, True)]
 
