--- a/packages/gooseberrymux/src/gooseberrymux/quota_answers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_answers.py
@@ -17,8 +17,8 @@
     """No token was granted for the request; it must not run.
 
     Attributes:
-        retry_after_ms: Time in which the caller should retry.
-        reason: What decided it.
+        retry_after_ms: Time after which the caller should retry.
+        reason: Why no token was granted, for the log.
     """
 
     retry_after_ms: float
--- a/packages/gooseberrymux/src/gooseberrymux/quota_balances.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_balances.py
@@ -133,7 +133,7 @@
         if balance.refused_until_ms <= now_ms:
             return None
         retry_after_ms = balance.retry_at_ms - now_ms
-        # The next one later, as tokens accrue one after the other.
+        # The next caller should retry later, as tokens accrue one after the other.
         if retry_after_ms < RETRY_LIMIT_MS:
             balance.retry_at_ms += MS_PER_S / rate_per_s
         return min(RETRY_LIMIT_MS, retry_after_ms)
@@ -155,7 +155,7 @@
         """
         balance = self._balances[workspace]
         self._drop_unanswered(balance, now_ms)
-        if any(self._open[number].ahead for number in balance.open_ids):
+        if any(self._open[request_id].ahead for request_id in balance.open_ids):
             return 0
         balance.drop_expired(now_ms)
         recent = sum(used_ms > now_ms - self._lapse_ms for used_ms in balance.uses_ms)
@@ -229,6 +229,6 @@
     def _drop_unanswered(self, balance: Balance, now_ms: float) -> None:
         """Closes the requests whose answer was lost or would be too late."""
         before_ms = now_ms - self._lapse_ms
-        for number in list(balance.open_ids):
-            if self._open[number].asked_ms <= before_ms:
-                self.close_request(number)
+        for request_id in list(balance.open_ids):
+            if self._open[request_id].asked_ms <= before_ms:
+                self.close_request(request_id)
--- a/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_grants.py
@@ -16,8 +16,8 @@
 from gooseberrymux.quota_messages import QuotaGrant, QuotaRequest
 from gooseberrymux.records import InstanceIdentity
 
-# Tokens ahead are granted only from above this share of a bucket, so that they are not
-# missing where a caller waits.
+# Tokens are granted ahead only from the part of a bucket above this share. The rest is
+# kept for requests whose caller waits.
 AHEAD_FLOOR_SHARE = 0.25
 # How long a token lasts that an entry holds for a workspace it sees every few seconds.
 HELD_MS = 10_000.0
@@ -177,7 +177,7 @@
         if request.tokens > 1:
             taken = self._bucket.take(request.tokens, now_ms, floor=floor)
             return taken, self._tolerance.lapse_ms
-        # By then, the tokens that an earlier owner let entries hold have expired.
+        # By then, the tokens that entries hold from an earlier owner have expired.
         is_held_time_over = now_ms - self._owner_since_ms >= HELD_MS
         has_room = len(self._held) + 1 <= self._tolerance.held_limit * self._share
         if not (is_held_time_over and has_room):
--- a/packages/gooseberrymux/src/gooseberrymux/quota_members.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_members.py
@@ -21,7 +21,7 @@
 
     Attributes:
         share: Share of each quota that the owners among the live members may grant.
-        has_unheard: Whether members are listed that nothing is known of.
+        has_unheard_members: Whether a listed member has not been heard from yet.
     """
 
     __slots__ = (
@@ -31,7 +31,7 @@
         "_ranked",
         "_left",
         "share",
-        "has_unheard",
+        "has_unheard_members",
     )
 
     def __init__(self, *, own_name: str, max_owners: int):
@@ -42,7 +42,7 @@
         # Incarnations of the members that announced their stop.
         self._left: dict[str, int] = {}
         self.share = 1.0
-        self.has_unheard = False
+        self.has_unheard_members = False
 
     def update(
         self, *, live: Sequence[InstanceRecord], members: Iterable[MemberUpdate]
@@ -87,13 +87,13 @@
     def _compute_share(self, live: set[str], members: Iterable[MemberUpdate]) -> float:
         """Returns live / (live + lost).
 
-        A member is lost if it is neither live nor announced its stop: it may have an
-        owner of its own behind a partition. This holds for as long as the member table
-        keeps it. So are members that were only listed so far, as an instance that has
-        just started sees itself as the owner of everything.
+        A member counts as lost while the member table keeps it, if it is not live and
+        has not announced its stop: behind a partition, it may see another owner. A
+        member that has not been heard from yet counts too, since an instance that has
+        just started sees itself as the owner of all workspaces.
         """
         lost = 0
-        self.has_unheard = False
+        self.has_unheard_members = False
         for member in members:
             name, incarnation = member.instance, member.incarnation
             if member.state is MemberState.LEAVING:
@@ -102,5 +102,5 @@
                 self._left.pop(name, None)
             elif not incarnation or self._left.get(name) != incarnation:
                 lost += 1
-                self.has_unheard = self.has_unheard or not incarnation
+                self.has_unheard_members = self.has_unheard_members or not incarnation
         return len(live) / (len(live) + lost) if live else 0.0
--- a/packages/gooseberrymux/src/gooseberrymux/quota_messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_messages.py
@@ -39,7 +39,7 @@
         workspace: Name of the workspace.
         tokens: How many tokens are granted.
         lapse_ms: Time after the sending of the request at which the tokens expire.
-        retry_after_ms: After a refusal, time in which a caller should retry.
+        retry_after_ms: After a refusal, time after which a caller should retry.
         owner: If the member is neither owner nor stand-in, the owner that it knows.
     """
 
--- a/packages/gooseberrymux/src/gooseberrymux/quotas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quotas.py
@@ -200,7 +200,7 @@
         )
 
     def _list_targets(self, workspace: str) -> list[str]:
-        """Returns the owner and the stand-in; one that is silent lately comes last.
+        """Returns the owner and the stand-in; one that did not answer comes last.
 
         An instance that has just started leaves itself out; if the others see it as the
         owner too, they name it.
@@ -209,7 +209,7 @@
         is_new = now_ms - self._started_ms < JOIN_MS
         with self._lock:
             granting = self._members.list_granting(workspace)
-            if is_new and self._members.has_unheard:
+            if is_new and self._members.has_unheard_members:
                 granting = tuple(name for name in granting if not self._is_own((name,)))
             return sorted(
                 granting,
@@ -255,6 +255,7 @@
     def _open_request(
         self, workspace: Workspace, *, target: str, tokens: int, ahead: bool = False
     ) -> QuotaRequest:
+        """Creates and records a request for tokens; the caller holds the lock."""
         table = self._routes.get_current()
         request_id = self._balances.open_request(
             workspace.name, ahead=ahead, target=target, now_ms=self._clock.boot_ms()
@@ -367,7 +368,7 @@
             journal.record_event("quotas.suspended")
 
     def _refresh_members(self, now_ms: float) -> None:
-        """Takes over the members known now; the caller holds the lock."""
+        """Applies changes of the members; the caller holds the lock."""
         if self._are_members_current:
             return
         self._are_members_current = True
