--- a/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
+++ b/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
@@ -15,15 +15,15 @@
 # How long the loop waits for a descriptor. The listener stays readable meanwhile, so
 # without a wait the loop would spin.
 SHORTAGE_PAUSE_MS = 50.0
-# At most one log line in this time says that descriptors, threads or memory lack.
+# Shortages of descriptors, threads or memory are logged at most once in this time.
 SHORTAGE_LOG_PERIOD_MS = 1_000.0
-# The caller has left before its connection was accepted. All other errors may last.
-PASSING_ERRORS = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EINTR})
+# The caller has left before its connection was accepted. All other errors may persist.
+TRANSIENT_ERRORS = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EINTR})
 # After a refusal, at most this many reads take what the caller has already sent.
 DISCARD_READS = 16
 DISCARD_BYTES = 65_536
 DISCARD_TIMEOUT_S = 0.1
-# The loop doesn't wait until a refused caller has taken this answer.
+# Sent without blocking, so that a refused caller can't hold up the loop.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n"
     b"retry-after: 0.500\r\ncontent-length: 42\r\nconnection: close\r\n\r\n"
@@ -81,7 +81,7 @@
             self._record_shortage(error)
 
     def _handle_accept_error(self, error: OSError) -> None:
-        if error.errno in PASSING_ERRORS:
+        if error.errno in TRANSIENT_ERRORS:
             return
         self._record_shortage(error)
         self.connections.shed_for_descriptor()
@@ -96,16 +96,16 @@
 
 
 class LimitedConnection(cheroot.server.HTTPConnection):
-    """A connection with an account.
+    """A connection whose use of the budget is recorded.
 
     Attributes:
-        holder: The account; set once the connection is accepted.
+        holder: Its account in the budget; set once the connection is accepted.
     """
 
     holder: Holder
 
     def discard_unread(self) -> None:
-        """Reads a little more, so that the caller gets the refusal before a reset.
+        """Reads a bounded part of the rest, so that the caller gets the refusal.
 
         The system resets a connection that is closed while data is unread.
         """
--- a/packages/gooseberrymux/src/gooseberrymux/caller_body.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_body.py
@@ -8,7 +8,7 @@
 from gooseberrymux.caller_memory import (
     REASON_PIECES,
     CallerConnections,
-    PieceGate,
+    WorkGate,
 )
 from gooseberrymux.clock import Clock
 from gooseberrymux.routes import CallerLimits
@@ -34,7 +34,8 @@
     Args:
         status: HTTP status of the reply.
         message: One-line explanation; becomes the body of the reply and is logged.
-        retry_after_ms: When the caller may try again, for a lack of room.
+        retry_after_ms: Time after which the caller may retry, where there was no room;
+            None for an invalid request.
     """
 
     def __init__(self, *, status: int, message: str, retry_after_ms: int | None = None):
@@ -80,7 +81,7 @@
         rfile: Reader,
         holder: Holder,
         connections: CallerConnections,
-        pieces: PieceGate,
+        pieces: WorkGate,
         clock: Clock,
     ):
         self._rfile = rfile
@@ -202,6 +203,7 @@
         self._tail = b""
         self._parser = httptools.HttpRequestParser(self)
         self._parser.feed_data(CHUNKED_HEAD)
+        # The parser has reported the header of `CHUNKED_HEAD` as well.
         self._trailers = 0
 
     def feed(self, data: bytes) -> int:
@@ -236,7 +238,7 @@
         self.body += data
 
     def on_message_complete(self) -> None:
-        """Notes the end of the body; called by the parser."""
+        """Records the end of the body; called by the parser."""
         self.is_complete = True
 
     def _find_step_end(self, data: bytes, start: int) -> int:
--- a/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
@@ -1,4 +1,4 @@
-"""Who may hold memory and connections of an instance, and who gives way.
+"""Which callers may hold memory and connections of an instance, and which are shed.
 
 No network: `caller_memory` closes the connections that this module names.
 """
@@ -11,8 +11,8 @@
 from gooseberrymux.records import Rank
 
 # What an open connection takes, beside a large body: its thread, its reader and a head
-# with many fields. Trials on one machine showed 24 KB without a request, 35 KB after
-# one, and 54 KB with 120 fields in an unfinished head.
+# with many fields: 24 KB without a request, 35 KB after one, and 54 KB with 120 fields
+# in an unfinished head.
 CONNECTION_BYTES = 56 * 1024
 # Bodies up to this size are covered by CONNECTION_BYTES and cost no accounting.
 COVERED_BODY_BYTES = 4 * 1024
@@ -27,10 +27,8 @@
 # A caller that sends a byte every 3 s is within the limits of the platform, so a rate
 # below the minimum must show over several such pauses.
 MINIMUM_RATE_WINDOW_MS = 15_000.0
-
-
-# Phases between two sweeps, four for each request, from which on a caller with unread
-# requests counts as one that sends ahead.
+# A caller with unread requests counts as sending ahead from this many phases between
+# two sweeps on. A request takes four phases.
 FREE_TURNS = 64
 
 
@@ -237,7 +235,7 @@
 
     @property
     def pending_bytes(self) -> int:
-        """What is charged to connections that were asked to end and will release it."""
+        """Bytes charged to connections that were asked to end and will release them."""
         return sum(holder.charged_bytes for holder in self.holders if holder.is_shed)
 
     def charge(self, holder: Holder, count: int) -> None:
@@ -256,16 +254,16 @@
         """
         candidates = [holder for holder in self.holders if self._may_be_shed(holder)]
         if requester is None:
-            return max(candidates, key=self._rate_for_connection, default=None)
+            return max(candidates, key=self._get_connection_shed_order, default=None)
         candidates = [
             holder
             for holder in candidates
             if holder.phase is not IDLE and holder.charged_bytes > CONNECTION_BYTES
         ]
-        worst = max(candidates, key=self._rate_for_body, default=None)
+        worst = max(candidates, key=self._get_body_shed_order, default=None)
         if worst is None or worst is requester:
             return None
-        worse = self._rate_for_body(worst) > self._rate_for_body(requester)
+        worse = self._get_body_shed_order(worst) > self._get_body_shed_order(requester)
         return worst if worse else None
 
     def find_victim_for_answer(self, requester: Holder) -> Holder | None:
@@ -293,7 +291,7 @@
             for holder in others
             if holder.phase is READING and holder.charged_bytes > CONNECTION_BYTES
         ]
-        return max(readers, key=self._rate_for_body, default=None)
+        return max(readers, key=self._get_body_shed_order, default=None)
 
     def list_too_slow(self) -> list[Holder]:
         """Returns the connections below the minimum rate."""
@@ -326,12 +324,11 @@
     def _is_slow(self, holder: Holder) -> bool:
         rate = holder.rate_bytes_per_s
         return (
-            holder.has_stayed
-            and rate is not None
-            and (rate < self._crowded_bytes_per_s)
+            holder.has_stayed and rate is not None and rate < self._crowded_bytes_per_s
         )
 
-    def _rate_for_body(self, holder: Holder) -> tuple:
+    def _get_body_shed_order(self, holder: Holder) -> tuple:
+        """Returns a sort key; the highest gives way first to a body."""
         urgency = URGENCY[holder.rank or Rank.PATIENT]
         return (
             self._is_slow(holder),
@@ -340,7 +337,8 @@
             holder.charged_bytes,
         )
 
-    def _rate_for_connection(self, holder: Holder) -> tuple:
+    def _get_connection_shed_order(self, holder: Holder) -> tuple:
+        """Returns a sort key; the highest gives way first to a new connection."""
         # First those that have sent a part of a request for a while, then idle ones, of
         # which a balancer keeps many, then those whose request is just being read, as
         # an ordinary one is read in a moment. Those that stay for longest come first.
@@ -348,5 +346,5 @@
             idle_ms = holder.window_ms if holder.has_stayed else 0.0
             return (1, idle_ms, -holder.number)
         if holder.has_stayed:
-            return (2, *self._rate_for_body(holder), -holder.number)
+            return (2, *self._get_body_shed_order(holder), -holder.number)
         return (0, -holder.number)
--- a/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
@@ -30,13 +30,13 @@
 # How long a caller waits for another one to give way. The thread that was asked to end
 # needs a few milliseconds to do so.
 ROOM_WAIT_MS = 300.0
-# Connections that are asked to end at a time: making room for each new connection by
-# itself would look at all of them each time.
+# Connections that are asked to end at a time, as each search for one looks at all of
+# them.
 SHED_BATCH = 4
 MEBIBYTE = 1024 * 1024
-# Where the settings name neither a budget nor the machine's memory.
+# Used where the settings name neither a budget nor the machine's memory.
 DEFAULT_MEMORY_BYTES = 256 * MEBIBYTE
-# Where the system names no limit.
+# Used where the system has no limit.
 MAX_DESCRIPTORS = 1 << 20
 # Offsets of tcpi_bytes_acked and tcpi_bytes_received in Linux's struct tcp_info.
 TCP_INFO_OFFSET = 120
@@ -197,10 +197,9 @@
 
     def _shed(self, holder: Holder, reason: str) -> None:
         holder.is_shed = True
-        # The thread of a connection that is being read answers it before it closes.
-        both = holder.phase is WRITING
+        # A connection that is being read is still answered before it is closed.
+        how = socket.SHUT_RDWR if holder.phase is WRITING else socket.SHUT_RD
         with contextlib.suppress(OSError):
-            how = socket.SHUT_RDWR if both else socket.SHUT_RD
             self._sockets[holder].shutdown(how)
         self._record("shed", reason, holder.address)
 
@@ -215,11 +214,15 @@
         self._drops.record(reason=f"caller_{reason}", step=action, peer=address)
 
 
-class PieceGate:
-    """Lets one connection at a time work on a body of many small pieces.
+class WorkGate:
+    """Lets one connection at a time do work that costs far more than its bytes.
 
-    Each piece costs far more work than its bytes. The work of all such bodies together
-    stays below a share of one processor. Thread-safe.
+    This is the work on bodies of many small pieces, and on requests that are sent
+    ahead. Thread-safe.
+
+    Args:
+        share: Share of one processor that the work behind this gate takes at most.
+        clock: The clock.
     """
 
     __slots__ = ("_share", "_clock", "_changed", "_queue", "_is_taken")
@@ -232,7 +235,7 @@
         self._is_taken = False
 
     def enter(self, timeout_ms: float) -> bool:
-        """Waits for the gate in order of arrival; False if the time has passed."""
+        """Waits in order of arrival; returns False if `timeout_ms` has passed."""
         ticket = object()
         with self._changed:
             deadline_ms = self._clock.now_ms() + timeout_ms
@@ -249,7 +252,11 @@
             return True
 
     def leave(self, worked_ms: float) -> None:
-        """Frees the gate after the pause that keeps the work below its share."""
+        """Frees the gate after a pause that keeps the work within its share.
+
+        Args:
+            worked_ms: Time for which the caller has worked.
+        """
         self._clock.sleep_ms(worked_ms * (1 / self._share - 1))
         with self._changed:
             self._is_taken = False
@@ -282,8 +289,8 @@
         self.callers = CallerConnections(
             budget=create_budget(limits), clock=kernel.clock, listener="callers"
         )
-        self.pieces = PieceGate(share=limits.small_piece_share, clock=kernel.clock)
-        self.pipelines = PieceGate(share=limits.small_piece_share, clock=kernel.clock)
+        self.pieces = WorkGate(share=limits.small_piece_share, clock=kernel.clock)
+        self.pipelines = WorkGate(share=limits.small_piece_share, clock=kernel.clock)
         self._watched = [self.callers]
         self._changed = threading.Condition()
         self._stopping = False
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -48,8 +48,10 @@
 # How long a planned stop waits for requests that are being read or answered after all
 # others have ended.
 ANSWER_TIMEOUT_MS = 300.0
-# A request that waits for its upstream does no work, so its turn counts no more.
+# Longest time that a request which was sent ahead counts as work; the rest is the wait
+# for its upstream.
 MAX_PIPELINE_WORK_MS = 5.0
+SHED_MESSAGE = "the connection was closed to make room for others"
 
 REASON_PHRASES = {
     200: "OK",
@@ -140,7 +142,7 @@
             body = self._read_body()
             self.conn.holder.enter(RUNNING)
             if self.conn.holder.is_shed:
-                raise create_no_room_error("the connection gave way to others")
+                raise create_no_room_error(SHED_MESSAGE)
         except RequestError as error:
             self.refuse(error)
             return
@@ -183,7 +185,7 @@
         self.close_connection = True
         if self.conn.holder.is_shed:
             # The connection was shut down for reading, so the request looks cut off.
-            error = create_no_room_error("the connection gave way to others")
+            error = create_no_room_error(SHED_MESSAGE)
         self.server.refusals.record(
             reason=f"request_refused_{error.status}",
             step="front.read",
@@ -232,14 +234,14 @@
         connection_set = self.server.connection_set
         while self.wait_for_request() and connection_set.begin_request(self):
             try:
-                keeps_open = self.take_turn()
+                keeps_open = self.serve_request()
             finally:
                 connection_set.end_request(self)
                 self.body_reader.release()
             if not keeps_open:
                 return
 
-    def take_turn(self) -> bool:
+    def serve_request(self) -> bool:
         """Serves one request; returns whether the connection stays open.
 
         A caller that sends many requests before it reads their answers waits for the
--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -158,7 +158,7 @@
         address = self._kernel.settings.instance.peers
         limit_library_threads()
         self._listener = pynng.Pull0(recv_max_size=RECEIVE_LIMIT_BYTES)
-        self._listener.add_pre_pipe_connect_cb(self._limit_strangers)
+        self._listener.add_pre_pipe_connect_cb(self._limit_unproven_connections)
         self._listener.add_post_pipe_remove_cb(self._unproven.discard)
         self._listener.listen(f"tcp://{address}")
         self._kernel.spawn(name="peers.listener", target=self._receive_frames)
@@ -310,10 +310,10 @@
             self.bytes_sent += size
         metrics.peer_bytes_total.add({"direction": "sent"}, size)
 
-    def _limit_strangers(self, pipe: pynng.Pipe) -> None:
-        """Closes the oldest connection without a frame if there are too many.
+    def _limit_unproven_connections(self, pipe: pynng.Pipe) -> None:
+        """Closes the oldest connection without a valid frame if there are too many.
 
-        Members and seeds have no limit: a fleet that starts connects all at once.
+        Members and seeds are exempt, as they all connect at once when a fleet starts.
         """
         oldest = self._unproven.add(pipe)
         if oldest is None:
--- a/packages/gooseberrymux/src/gooseberrymux/unproven_pipes.py
+++ b/packages/gooseberrymux/src/gooseberrymux/unproven_pipes.py
@@ -1,7 +1,7 @@
 """Limits the connections to the peer port that have not sent a valid frame yet.
 
-A frame is held in memory while it arrives, so strangers could fill the memory with
-frames that never end.
+A frame is held in memory while it arrives, so senders that are not peers could exhaust
+the memory with frames that never end.
 """
 
 import threading
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -21,7 +21,7 @@
 from gooseberrymux.settings import Address
 
 SHUTDOWN_TIMEOUT_S = 5
-# Between two reads of a request.
+# Longest wait for more bytes of a request, and for the next request.
 REQUEST_TIMEOUT_S = 10
 HEADER_LIMIT_BYTES = 16 * 1024
 LISTEN_BACKLOG = 256
@@ -102,8 +102,8 @@
 ) -> "LimitedServer":
     """Returns an HTTP server, not yet listening, with a thread for each connection.
 
-    A slow caller holds up no other one, as with a fixed number of threads it would; at
-    the limit of connections the slowest gives way.
+    Unlike with a fixed number of threads, slow callers do not block others; at the
+    limit of connections, the slowest one is closed.
 
     Args:
         address: Address to listen on.
