--- a/packages/gooseberrymux/src/gooseberrymux/admin.py
+++ b/packages/gooseberrymux/src/gooseberrymux/admin.py
@@ -28,7 +28,7 @@
 # Shorter than the timeout of the operators' clients, so that a response arrives in time
 # and names the instances that have not replied.
 STATUS_TIMEOUT_MS = 1_500
-# Paths of what excludes upstreams from work, with the kind of object that it sets.
+# Paths that exclude upstreams from new work, with the kind of object that they change.
 EXCLUSION_PATHS = {"/v1/drains/": Kind.DRAIN, "/v1/evacuations/": Kind.EVACUATION}
 
 
@@ -157,7 +157,7 @@
                     return response
                 case Ok(decoded):
                     pass
-        prefix = next(p for p in EXCLUSION_PATHS if request.path.startswith(p))
+        prefix = next(path for path in EXCLUSION_PATHS if request.path.startswith(path))
         change = admin_bodies.decode_exclusion(
             decoded,
             kind=EXCLUSION_PATHS[prefix],
--- a/packages/gooseberrymux/src/gooseberrymux/cold_limits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/cold_limits.py
@@ -3,7 +3,7 @@
 from gooseberrymux.rate_limits import RateLimit
 
 # Once an upstream is warm, its limit doubles with each of these steps and then ends.
-# All the work that kept away from it would otherwise come back at one moment.
+# Without a ramp, all requests that went to other upstreams would return to it at once.
 RAMP_STEP_MS = 250.0
 RAMP_STEPS = 4
 RAMP_FACTOR = 2.0
@@ -28,7 +28,7 @@
 
     @property
     def is_cold(self) -> bool:
-        """Whether the upstream is cold still; False during the ramp."""
+        """Whether the upstream is still cold; False during the ramp."""
         return self._warm_since_ms is None
 
     @property
@@ -37,7 +37,7 @@
         return self._limit.allowed_per_s
 
     def keep_cold(self, rate_per_s: float, now_ms: float) -> None:
-        """Applies the rate of an upstream that is cold, also if it is so once more."""
+        """Applies the rate of a cold upstream; ends the ramp if it is cold again."""
         self._warm_since_ms = None
         self._cold_rate_per_s = rate_per_s
         self._limit.set_rate(rate_per_s, now_ms)
--- a/packages/gooseberrymux/src/gooseberrymux/evacuations.py
+++ b/packages/gooseberrymux/src/gooseberrymux/evacuations.py
@@ -56,12 +56,14 @@
         # Domains of the platform's objects, and those of the configuration.
         self._listed: frozenset[str] = frozenset()
         self._ordered: frozenset[str] = frozenset()
-        # Domains that the platform has lost but that stay evacuated, and until when.
+        # Domains that the platform has lost but that stay evacuated, with the monotonic
+        # time in milliseconds until which they do.
         self._held: dict[str, float] = {}
         # Era of the platform to which the listed domains belong.
         self._era = 0
         self._domains: frozenset[str] = frozenset()
-        # When the latest evacuation of each domain ended.
+        # Monotonic time in milliseconds at which the latest evacuation of each domain
+        # ended.
         self._ended_ms: dict[str, float] = {}
         self._lock = threading.Lock()
         kernel.subscribe(ConfigurationChanged, self._handle_configuration)
@@ -122,7 +124,7 @@
         self._update()
 
     def _update(self) -> None:
-        """Puts the evacuations in force that are asked for now, and tells of it."""
+        """Recomputes which domains are evacuated, and publishes a change."""
         now_ms = self._kernel.clock.now_ms()
         with self._lock:
             self._held = {
@@ -132,7 +134,8 @@
             }
             before = self._domains
             after = self._listed | self._ordered | self._held.keys()
-            # Set before the domains open, so that no send sees neither of both.
+            # Set first, so that a concurrent send finds a domain whose evacuation ends
+            # either still evacuated or marked as just ended.
             self._ended_ms |= dict.fromkeys(before - after, now_ms)
             self._domains = after
         if before == after:
--- a/packages/gooseberrymux/src/gooseberrymux/fair_queue.py
+++ b/packages/gooseberrymux/src/gooseberrymux/fair_queue.py
@@ -45,8 +45,8 @@
         Args:
             is_preferred: Items for which this returns True go before the other items of
                 their flow, and flows with such an item before the others of the same
-                round. The round bounds how long a flood of new items can hold up what
-                other flows have had to wait for.
+                round. Each waiting flow still gets its turn in the round, however many
+                preferred items arrive.
         """
         if not self._turns:
             self._turns, self._next_turns = self._next_turns, self._turns
--- a/packages/gooseberrymux/src/gooseberrymux/reported_load.py
+++ b/packages/gooseberrymux/src/gooseberrymux/reported_load.py
@@ -7,8 +7,8 @@
 # changes many times a second, and what waits there drains in a few exchanges.
 REPORT_AGE_MS = 400.0
 USUAL_PERCENT = 100.0
-# Reports outside count as these, so that one figure neither draws all traffic nor keeps
-# it away for longer than its age.
+# Reported values are limited to this range, so that a wrong one neither attracts all
+# traffic nor keeps it away for longer than `REPORT_AGE_MS`.
 MIN_PERCENT, MAX_PERCENT = 25.0, 1_000.0
 MAX_FOREIGN = 1_000.0
 
@@ -73,7 +73,7 @@
             # same replies, so only the change against that counts.
             change = self._percent / self._compute_average(now_ms) - 1.0
             duration *= 1.0 + weight * change
-        # What this owner has in flight itself is counted where it chooses.
+        # The exchanges of this owner count in `Replica.estimate_cost`.
         slots = max(1.0, self._load.slots)
         foreign = weight * self._foreign
         ahead = min(foreign, max(0.0, own_count + foreign + 1.0 - slots))
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -248,10 +248,13 @@
         connections_per_address: Connections of one caller's address; 0 for no limit.
         descriptors: Descriptors that the process may open; 0 for its own limit.
         descriptor_share: Share of the descriptors that callers may use.
-        min_bytes_per_s: Callers that send or read more slowly are closed.
-        crowded_bytes_per_s: Callers that do so more slowly give way first.
+        min_bytes_per_s: Bytes a second; the connections of callers that send or read
+            more slowly are closed.
+        crowded_bytes_per_s: Bytes a second; without room for all, the connections of
+            callers that send or read more slowly are closed first.
         small_piece_share: Share of a processor for bodies of many small chunks.
-        unproven_peer_connections: Connections to the peer port without a valid frame.
+        unproven_peer_connections: Connections to the peer port that have not sent a
+            valid frame yet.
     """
 
     memory_bytes: Annotated[int, Meta(ge=0)] = 0
