--- a/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
+++ b/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
@@ -11,6 +11,7 @@
 from gooseberrymux.caller_budget import Holder
 from gooseberrymux.caller_memory import CallerConnections
 from gooseberrymux.clock import Clock
+from gooseberrymux.kernel import Kernel
 
 # How long the loop waits for a descriptor. The listener stays readable meanwhile, so
 # without a wait the loop would spin.
@@ -35,15 +36,21 @@
     """Mixin of a cheroot server, in place of the loop that cheroot runs.
 
     That loop spins when the system has no descriptor left, and it knows no limits.
-    A subclass has the attributes below and starts the thread of a connection.
+    A subclass sets the attributes below.
 
     Attributes:
         connections: Accounts of the connections.
+        connection_set: The open connections, to be closed at a stop.
+        kernel: Spawns the threads of the connections.
         clock: The clock.
+        thread_prefix: Start of the names of these threads.
     """
 
     connections: CallerConnections
+    connection_set: "ConnectionSet"
+    kernel: Kernel
     clock: Clock
+    thread_prefix: str
     _shortage_logged_ms = -SHORTAGE_LOG_PERIOD_MS
 
     def serve(self) -> None:
@@ -80,6 +87,22 @@
             sock.close()
             self._record_shortage(error)
 
+    def process_conn(self, conn: "LimitedConnection") -> None:
+        """Starts the thread of a new connection, in place of cheroot's thread pool."""
+        self.kernel.spawn(
+            name=f"{self.thread_prefix}.{conn.remote_addr}:{conn.remote_port}",
+            target=lambda: self._serve_connection(conn),
+            is_essential=False,
+        )
+
+    def _serve_connection(self, conn: "LimitedConnection") -> None:
+        self.connection_set.add(conn)
+        try:
+            conn.serve()
+        finally:
+            self.connection_set.discard(conn)
+            conn.close()
+
     def _handle_accept_error(self, error: OSError) -> None:
         if error.errno in TRANSIENT_ERRORS:
             return
@@ -96,7 +119,7 @@
 
 
 class LimitedConnection(cheroot.server.HTTPConnection):
-    """A connection whose use of the budget is recorded.
+    """A connection whose use of the budget is recorded; a subclass has `serve`.
 
     Attributes:
         holder: Its account in the budget; set once the connection is accepted.
--- a/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_budget.py
@@ -29,7 +29,7 @@
 MINIMUM_RATE_WINDOW_MS = 15_000.0
 # A caller with unread requests counts as sending ahead from this many phases between
 # two sweeps on. A request takes four phases.
-FREE_TURNS = 64
+FREE_PHASES = 64
 
 
 class Phase(enum.Enum):
@@ -50,12 +50,12 @@
     """Progress of a connection at a time.
 
     Attributes:
-        turn: Number of the phase that the connection was in.
+        phase_number: Number of the phase that the connection was in.
         at_ms: Time in milliseconds.
         moved_bytes: Bytes received from and acknowledged by the caller since the start.
     """
 
-    turn: int
+    phase_number: int
     at_ms: float
     moved_bytes: int
 
@@ -70,7 +70,7 @@
         address: IP address of the caller.
         number: Rises with each connection of the listener.
         phase: What the connection does.
-        turn: Rises with each change of the phase.
+        phase_number: Rises with each change of the phase.
         charged_bytes: What is charged for it now.
         rank: Rank of the body that is read or held; None if it is not known.
         is_shed: Whether the connection was asked to end.
@@ -85,7 +85,7 @@
         "address",
         "number",
         "phase",
-        "turn",
+        "phase_number",
         "charged_bytes",
         "rank",
         "is_shed",
@@ -94,14 +94,14 @@
         "window_ms",
         "sends_ahead",
         "answer_number",
-        "_last_turn",
+        "_last_phase_number",
     )
 
     def __init__(self, *, address: str, number: int = 0):
         self.address = address
         self.number = number
         self.phase = IDLE
-        self.turn = 0
+        self.phase_number = 0
         self.charged_bytes = CONNECTION_BYTES
         self.rank: Rank | None = None
         self.is_shed = False
@@ -110,19 +110,19 @@
         self.window_ms = 0.0
         self.sends_ahead = False
         self.answer_number: int | None = None
-        self._last_turn = 0
+        self._last_phase_number = 0
 
     def enter(self, phase: Phase) -> None:
         """Begins a phase."""
         self.phase = phase
-        self.turn += 1
+        self.phase_number += 1
 
     def record_progress(self, now_ms: float, moved_bytes: int) -> None:
         """Updates the rate at which the caller sends or reads in this phase."""
         first = self.first_sample
-        if first is None or first.turn != self.turn:
+        if first is None or first.phase_number != self.phase_number:
             self.first_sample = Sample(
-                turn=self.turn, at_ms=now_ms, moved_bytes=moved_bytes
+                phase_number=self.phase_number, at_ms=now_ms, moved_bytes=moved_bytes
             )
             self.rate_bytes_per_s, self.window_ms = None, 0.0
             return
@@ -138,16 +138,19 @@
         that sends few requests ahead is no burden.
         """
         if self.phase in (RUNNING, WRITING):
-            turns = self.turn - self._last_turn
+            phases = self.phase_number - self._last_phase_number
             self.sends_ahead = unread_bytes > 0 and (
-                self.sends_ahead or turns >= FREE_TURNS
+                self.sends_ahead or phases >= FREE_PHASES
             )
-        self._last_turn = self.turn
+        self._last_phase_number = self.phase_number
 
     @property
     def has_stayed(self) -> bool:
         """Whether a sample was taken in the present phase already."""
-        return self.first_sample is not None and self.first_sample.turn == self.turn
+        return (
+            self.first_sample is not None
+            and self.first_sample.phase_number == self.phase_number
+        )
 
 
 class CallerBudget:
--- a/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_memory.py
@@ -311,8 +311,8 @@
     def create_listener(self, name: str, *, connections: int) -> CallerConnections:
         """Returns the connections of a listener that needs few of them.
 
-        They have a small budget of their own, so that a crowd of callers can't take the
-        room of health checks and operators.
+        They have limits of their own, so that many callers can't take the room of
+        health checks and operators.
         """
         limits = self._kernel.settings.caller_limits
         created = CallerConnections(
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -321,6 +321,7 @@
     """
 
     ConnectionClass = CallerConnection
+    thread_prefix = "front"
 
     def __init__(
         self,
@@ -340,7 +341,7 @@
         self.connection_set = ConnectionSet(clock=kernel.clock)
         self.refusals = DropRecorder(clock=kernel.clock, event="front.refused")
         self.get_rank = get_rank
-        self._kernel = kernel
+        self.kernel = kernel
         self._handle = handle
         self._get_limits = get_limits
 
@@ -349,22 +350,6 @@
         """Limits in force, which change with the route table."""
         return self._get_limits()
 
-    def process_conn(self, conn: CallerConnection) -> None:
-        """Starts the thread of a new connection, in place of cheroot's thread pool."""
-        self._kernel.spawn(
-            name=f"front.{conn.remote_addr}:{conn.remote_port}",
-            target=lambda: self._serve_connection(conn),
-            is_essential=False,
-        )
-
-    def _serve_connection(self, conn: CallerConnection) -> None:
-        self.connection_set.add(conn)
-        try:
-            conn.serve()
-        finally:
-            self.connection_set.discard(conn)
-            conn.close()
-
     def run_handler(
         self, received: ReceivedRequest
     ) -> CallerReply | CallerDisconnected:
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -182,6 +182,11 @@
 
     def serve(self) -> None:
         """Serves requests until the caller or this server ends the connection."""
+        # A client may leave before its answer.
+        with contextlib.suppress(ConnectionError):
+            self._serve_requests()
+
+    def _serve_requests(self) -> None:
         connection_set = self.server.connection_set
         while self._wait_for_request() and connection_set.begin_request(self):
             try:
@@ -203,35 +208,10 @@
 
 
 class LimitedServer(AcceptLoop, cheroot.wsgi.Server):
-    """Server of a listener that few clients need, such as health checks.
-
-    Attributes:
-        kernel: Spawns the threads of the connections.
-        connection_set: Connections to close at a stop.
-    """
+    """Server of a listener that few clients need, such as health checks."""
 
     ConnectionClass = LimitedWebConnection
-    kernel: Kernel
-    connection_set: ConnectionSet
-
-    def process_conn(self, conn: LimitedWebConnection) -> None:
-        """Starts the thread of a new connection, in place of cheroot's thread pool."""
-        self.kernel.spawn(
-            name=f"web.{conn.remote_addr}:{conn.remote_port}",
-            target=lambda: self._serve_connection(conn),
-            is_essential=False,
-        )
-
-    def _serve_connection(self, conn: LimitedWebConnection) -> None:
-        self.connection_set.add(conn)
-        try:
-            conn.serve()
-        except ConnectionError:
-            # The client has left before its answer.
-            return
-        finally:
-            self.connection_set.discard(conn)
-            conn.close()
+    thread_prefix = "web"
 
     def stop(self) -> None:
         """Finishes the requests in flight and closes the listener."""
--- a/tests/test_caller_body.py
+++ b/tests/test_caller_body.py
@@ -108,8 +108,8 @@
 
 
 def test_the_oldest_silent_connection_to_the_peer_port_gives_way():
-    # Guards against strangers whose endless frames fill the memory, and against a
-    # peer that is closed although it has sent a valid frame.
+    # Guards against senders that exhaust the memory with frames that never end, and
+    # against a peer that is closed although it has sent a valid frame.
     pipes = [FakePipe(number) for number in range(4)]
     unproven = UnprovenPipes(limit=2)
     assert [unproven.add(pipe) for pipe in pipes[:2]] == [None, None]
--- a/tests/test_caller_budget.py
+++ b/tests/test_caller_budget.py
@@ -4,7 +4,7 @@
 
 from gooseberrymux.caller_budget import (
     CONNECTION_BYTES,
-    FREE_TURNS,
+    FREE_PHASES,
     CallerBudget,
     Holder,
     Phase,
@@ -109,8 +109,8 @@
 
 def test_only_a_caller_that_sends_many_requests_ahead_counts_as_such():
     few, many = Holder(address="a"), Holder(address="b")
-    for holder, turns in ((few, 4), (many, FREE_TURNS)):
-        for _ in range(turns):
+    for holder, phases in ((few, 4), (many, FREE_PHASES)):
+        for _ in range(phases):
             holder.enter(Phase.RUNNING)
         holder.record_unread(180)
     assert (few.sends_ahead, many.sends_ahead) == (False, True)
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -159,13 +159,18 @@
         assert len(owner.list_replicas()) == 1
 
 
+def submit_behind_running(owner, upstream):
+    """Submits a sub-request that runs at the upstream, and one that waits for it."""
+    owner.submit("running")
+    wait_for(lambda: upstream.request_ids == ["running"], "the running exchange")
+    owner.submit("queued")
+
+
 def test_queued_work_is_handed_back_and_the_running_exchange_finishes(upstream):
     owner = OwnerNode("one", upstream)
     upstream.may_reply.clear()
     with running(owner):
-        owner.submit("running")
-        wait_for(lambda: upstream.request_ids == ["running"], "the running exchange")
-        owner.submit("queued")
+        submit_behind_running(owner, upstream)
         owner.list_upstream(epoch=1, state="leaving")
         assert_refused(owner.outcomes["queued"], REASON_UPSTREAM_LEAVING)
         upstream.may_reply.set()
@@ -174,13 +179,11 @@
 
 
 def test_what_waits_for_an_evacuated_domain_is_refused_as_not_run(upstream):
-    # Guards against work in the query path that waits for a domain that is closed.
+    # Guards against work in the query path that waits for an evacuated domain.
     owner = OwnerNode("one", upstream)
     upstream.may_reply.clear()
     with running(owner):
-        owner.submit("running")
-        wait_for(lambda: upstream.request_ids == ["running"], "the running exchange")
-        owner.submit("queued")
+        submit_behind_running(owner, upstream)
         owner.evacuate("domain-a")
         assert_refused(owner.outcomes["queued"], REASON_DOMAIN_EVACUATED)
         assert owner.list_replicas() == ()
@@ -218,9 +221,7 @@
     upstream.may_reply.clear()
     departures = owner.kernel.find("departures", Departures)
     with running(owner):
-        owner.submit("running")
-        wait_for(lambda: upstream.request_ids == ["running"], "the running exchange")
-        owner.submit("queued")
+        submit_behind_running(owner, upstream)
         # Without events, the notice changes the table and leaves the queue as it is, as
         # if the item had been queued just after the queue was emptied.
         monkeypatch.setattr(Kernel, "publish", lambda kernel, event: None)
