--- a/packages/gooseberrymux/src/gooseberrymux/replica_set.py
+++ b/packages/gooseberrymux/src/gooseberrymux/replica_set.py
@@ -4,19 +4,13 @@
 
 from gooseberrymux import metrics
 from gooseberrymux.connections import Connection, ResultHandler
+from gooseberrymux.domain_choice import Option, choose_free, measure_domains
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.replicas import SLOW_FACTOR, Replica
 from gooseberrymux.reply_memory import ReplyMemory
-from gooseberrymux.spillover import (
-    CLEAR_DIFFERENCE,
-    REMOTE_DOMAIN_COST,
-    Arrival,
-    DomainLoad,
-    Spillover,
-    create_spillover_policy,
-)
+from gooseberrymux.spillover import Arrival, Spillover, create_spillover_policy
 
 UNLIMITED_CONNECTIONS = 1 << 16
 # While the instances disagree about the owner of a service, the previous one may still
@@ -28,9 +22,6 @@
 DOMAIN_HOME = "home"
 DOMAIN_REMOTE = "remote"
 
-# An upstream with a free slot, after its cost in medians.
-Option = tuple[float, Replica]
-
 
 class ReplicaSet:
     """Tracks the platform's list of upstreams and chooses one for each request.
@@ -276,7 +267,12 @@
                 )
                 free.append((cost, replica))
         if free:
-            return self._choose_free(free, is_kept=is_kept and any_healthy_home)
+            return choose_free(
+                free,
+                spillover=self.spillover,
+                home=self._domain,
+                is_kept=is_kept and any_healthy_home,
+            )
         if not slow:
             # A long exchange can't be told from a pause. The only usable upstream gets
             # work although it seems stalled, as there is no other to wait for.
@@ -288,31 +284,6 @@
             return None
         return fastest
 
-    def _choose_free(self, free: list[Option], *, is_kept: bool) -> Replica | None:
-        """Returns the cheapest free upstream that spillover allows, None to wait.
-
-        Args:
-            free: Healthy upstreams with a free slot, at least one, and their costs.
-            is_kept: Whether the request may wait for this failure domain.
-        """
-        spillover = self.spillover
-        if not spillover.is_adaptive:
-            return min(free, key=get_cost)[1]
-        home = [option for option in free if self._is_home(option[1])]
-        with_room = [
-            option
-            for option in free
-            if not spillover.is_short(option[1].record.failure_domain)
-        ]
-        if not is_kept:
-            # A free slot in a domain that is short is better than being late.
-            allowed = with_room or free
-        elif spillover.may_leave or (home and is_clearly_better(with_room, home)):
-            allowed = with_room
-        else:
-            allowed = home
-        return min(allowed, key=get_cost)[1] if allowed else None
-
     def _is_home(self, replica: Replica) -> bool:
         return replica.record.failure_domain == self._domain
 
@@ -323,7 +294,9 @@
         """
         if not self.spillover.is_adaptive:
             return now_ms
-        loads = self._measure_domains(now_ms)
+        loads = measure_domains(
+            self.list_usable(now_ms), self._connection_limit, now_ms
+        )
         home = loads.pop(self._domain, None)
         return self.spillover.record_arrival(
             arrival, home=home, remote=loads, now_ms=now_ms
@@ -344,17 +317,6 @@
         if is_first and not is_home:
             self.spillover.record_leave()
 
-    def _measure_domains(self, now_ms: float) -> dict[str, DomainLoad]:
-        """Returns the load of each failure domain that has a usable upstream."""
-        by_domain: dict[str, list[Replica]] = {}
-        for replica in self.list_usable(now_ms):
-            by_domain.setdefault(replica.record.failure_domain, []).append(replica)
-        limit = self._connection_limit
-        return {
-            domain: measure_load(replicas, limit, now_ms)
-            for domain, replicas in by_domain.items()
-        }
-
     def acquire_connection(
         self,
         replica: Replica,
@@ -412,46 +374,3 @@
 def is_same_run(one: UpstreamRecord, other: UpstreamRecord) -> bool:
     """Returns whether two records have the same epoch and address, so the same run."""
     return (one.epoch, one.host, one.port) == (other.epoch, other.host, other.port)
-
-
-def get_cost(option: Option) -> float:
-    """Returns the cost of an option."""
-    return option[0]
-
-
-def is_clearly_better(options: list[Option], home: list[Option]) -> bool:
-    """Returns whether the best option beats those at home whatever the share is.
-
-    Args:
-        options: All options, those at home among them.
-        home: The options at home, at least one.
-    """
-    best, best_at_home = min(options, key=get_cost), min(home, key=get_cost)
-    # The cost of a remote upstream contains that of crossing, at least 0.5.
-    return best[0] + CLEAR_DIFFERENCE - REMOTE_DOMAIN_COST < best_at_home[0]
-
-
-def measure_load(replicas: list[Replica], limit: int, now_ms: float) -> DomainLoad:
-    """Returns the load of a failure domain's usable upstreams.
-
-    Args:
-        replicas: The upstreams, at least one.
-        limit: Connections that each of them accepts.
-        now_ms: Monotonic time in milliseconds.
-    """
-    slots, busy = 0, 0.0
-    best = best_unfit = float("inf")
-    for replica in replicas:
-        slowness = replica.get_slowness(now_ms)
-        duration = replica.estimate_duration(slowness)
-        if slowness > SLOW_FACTOR or replica.is_stalled(now_ms):
-            best_unfit = min(best_unfit, duration)
-        else:
-            own_slots = min(replica.record.slots, limit)
-            slots += own_slots
-            occupants = replica.count_occupants(now_ms)
-            # A slot that a rate limit forbids to use is as good as busy.
-            is_limited = replica.limits.get_rate_wait_ms(now_ms) > 0.0
-            busy += max(occupants, own_slots) if is_limited else occupants
-            best = min(best, duration)
-    return DomainLoad(slots=slots, busy=busy, duration=best if slots else best_unfit)
--- a/packages/gooseberrymux/src/gooseberrymux/spillover.py
+++ b/packages/gooseberrymux/src/gooseberrymux/spillover.py
@@ -225,6 +225,16 @@
         self._step(home, now_ms)
         self._credit = min(STEPS, self._credit + self._steps)
         self._record_change(arrival, home, remote, now_ms)
+        return self._compute_kept_until(arrival, home, remote, now_ms)
+
+    def _compute_kept_until(
+        self,
+        arrival: Arrival,
+        home: DomainLoad | None,
+        remote: Mapping[str, DomainLoad],
+        now_ms: float,
+    ) -> float:
+        """Returns until when a request is kept at home, in monotonic milliseconds."""
         if home is None:
             return now_ms
         duration = max(load.duration for load in (home, *remote.values()))
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -6,6 +6,7 @@
 import types
 
 from gooseberrymux import journal
+from gooseberrymux.domain_choice import measure_load
 from gooseberrymux.forward_exchange import Broken
 from gooseberrymux.forward_messages import PartReplied
 from gooseberrymux.kernel import Kernel
@@ -17,7 +18,7 @@
 )
 from gooseberrymux.pool import Pool, PoolDependencies
 from gooseberrymux.rate_limits import RateLimit
-from gooseberrymux.replica_set import ReplicaSet, measure_load
+from gooseberrymux.replica_set import ReplicaSet
 from gooseberrymux.replicas import LatencyEstimate
 from gooseberrymux.route_latencies import RouteLatencies
 from gooseberrymux.spillover import Adaptive, Arrival, DomainLoad, Spillover
