--- a/tests/door/test_untrusted_callers.py
+++ b/tests/door/test_untrusted_callers.py
@@ -114,6 +114,8 @@
     ],
 )
 def test_a_crowd_of_callers_leaves_room_for_an_ordinary_one(door, create, path):
+    # Guards against a process that ends, grows without bound or serves nobody under one
+    # kind of hostile request.
     with Crowd(door, "callers", create(path)):
         check_bounds(door)
         assert door.ask_until_answered("callers", ROUTE_PATH) == 200
@@ -121,6 +123,7 @@
 
 
 def test_unread_large_answers_leave_room_for_an_ordinary_caller(door):
+    # Guards against answers that callers never read and that are not charged.
     # More answers than the buffers of the system take; each caller reads none.
     head = f"GET {LARGE_PATH} HTTP/1.1\r\nHost: desk.example\r\n\r\n".encode()
     with Crowd(door, "callers", [head * UNREAD_ANSWERS]):
@@ -129,12 +132,14 @@
 
 
 def test_chunk_extensions_leave_room_for_an_ordinary_caller(door):
+    # Guards against framing that is kept in memory although it is not part of the body.
     with Crowd(door, "callers", create_open_chunks(ROUTE_PATH, extension=b";a=b")):
         assert door.ask_until_answered("callers", ROUTE_PATH) == 200
         check_bounds(door)
 
 
 def test_more_callers_than_the_limit_leave_room_for_an_ordinary_one(door):
+    # Guards against idle callers that take all connections.
     pieces = [create_head(ROUTE_PATH)]
     with Crowd(door, "callers", pieces, size=MANY_CONNECTIONS):
         check_bounds(door)
@@ -169,6 +174,7 @@
 
 
 def test_frames_that_never_end_leave_the_peer_port_bounded(door):
+    # Guards against memory held for frames of senders that are not peers.
     frame = (PEER_FRAME_BYTES).to_bytes(8) + b"a" * (PEER_FRAME_BYTES - 1)
     with Crowd(door, "peers", [PEER_GREETING, frame], size=CROWD // 2):
         assert door.ask_until_answered("callers", ROUTE_PATH) == 200
@@ -176,6 +182,7 @@
 
 
 def test_silent_connections_leave_the_peer_port_bounded(door):
+    # Guards against connections without a frame that are never closed.
     with Crowd(door, "peers", [b"\x00SP"], size=MANY_CONNECTIONS):
         check_bounds(door)
         assert door.ask_until_answered("callers", ROUTE_PATH) == 200
--- a/tests/machines/test_entries.py
+++ b/tests/machines/test_entries.py
@@ -180,6 +180,7 @@
 
 
 def test_only_rates_above_zero_limit_cold_upstreams():
+    # Guards against a rate of 0, which means no limit, that stops all requests.
     rates = {"a": 0, "b": None, "c": 0.5}
     services = [{"name": name, "coldPerS": rate} for name, rate in rates.items()]
     assert translate_cold_rates([*services, {"name": "d"}]) == {"c": 0.5}
--- a/tests/machines/test_store_platform.py
+++ b/tests/machines/test_store_platform.py
@@ -107,6 +107,8 @@
 
 
 def test_evacuations_are_one_document_that_follows_their_objects(harness):
+    # Guards against an evacuation that is missed, or that stays after its object is
+    # removed.
     domains, at = harness.list_evacuated()
     assert domains == [], "an empty list is a state"
     for name in ("z-b", "z-a"):
--- a/tests/test_caller_body.py
+++ b/tests/test_caller_body.py
@@ -57,6 +57,8 @@
     ],
 )
 def test_a_malformed_or_padded_chunked_body_is_refused(data):
+    # Guards against framing that costs far more than the body, or that the next hop
+    # reads in another way.
     with pytest.raises(RequestError):
         ChunkParser(limit_bytes=LIMIT_BYTES).feed(data)
 
@@ -94,6 +96,7 @@
 
 
 def test_the_accept_loop_waits_for_a_descriptor_and_does_not_spin():
+    # Guards against a loop that uses a whole processor while no descriptor is left.
     loop = AcceptLoop()
     loop.clock, loop.connections = PausingClock(), CountingConnections()
     loop.ready, loop.socket = True, ShortListener(loop, failures=3)
--- a/tests/test_caller_budget.py
+++ b/tests/test_caller_budget.py
@@ -58,6 +58,7 @@
 
 
 def test_the_worst_holder_makes_no_room_for_itself():
+    # Guards against a large body for which smaller ones are shed.
     budget = create_budget()
     add(budget, body=BODY)
     assert budget.find_victim(add(budget, body=2 * BODY)) is None
@@ -81,6 +82,7 @@
 
 
 def test_a_less_urgent_body_leaves_a_part_of_the_budget_to_urgent_ones():
+    # Guards against patient bodies that leave no memory for urgent ones.
     budget = create_budget()
     add(budget, phase=Phase.RUNNING, body=int(budget.memory_bytes * 0.8))
     assert not budget.has_room_for_body(add(budget, rank=Rank.PATIENT), KIB)
@@ -88,6 +90,7 @@
 
 
 def test_a_byte_every_three_seconds_is_not_too_slow():
+    # Guards against a caller that is closed although it keeps within the limits.
     # The platform allows its callers pauses of 3 s between two bytes.
     budget = create_budget()
     add(budget, rate=1 / 3)
@@ -108,6 +111,7 @@
 
 
 def test_only_a_caller_that_sends_many_requests_ahead_counts_as_such():
+    # Guards against a caller with a short pipeline that has to wait for the gate.
     few, many = Holder(address="a"), Holder(address="b")
     for holder, phases in ((few, 4), (many, FREE_PHASES)):
         for _ in range(phases):
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -84,6 +84,7 @@
 
 @pytest.mark.parametrize("first", [stay_silent, lambda request: request.reply(500)])
 def test_neither_hedge_nor_retry_goes_into_an_evacuated_domain(first):
+    # Guards against further sends of a request that began before the evacuation.
     with open_owner(a=first, b=answer) as owner:
         evacuate(owner.kernel, "b", revision=1)
         owner.submit(remaining_ms=300.0, target_ms=50.0)
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -323,7 +323,10 @@
 
 
 def test_an_upstream_where_requests_of_others_wait_is_left_until_the_report_is_old():
-    """Load: another sender fills the upstream at home, which the owner can't see."""
+    """Guards against requests that queue behind those of other senders.
+
+    Load: another sender fills the upstream at home, which the owner can't see.
+    """
     owner = Owner()
     report(owner, "u0", running=2.0, waiting=2.0)
     assert owner.choose() == "u1"
@@ -332,6 +335,7 @@
 
 
 def test_own_requests_in_a_report_are_no_load_of_others():
+    # Guards against an owner that avoids an upstream because of its own requests.
     owner = Owner()
     running = owner.start_exchange("u0")
     report(owner, "u0", running=1.0, waiting=1.0)
@@ -341,7 +345,10 @@
 
 
 def test_a_reported_slowdown_counts_at_once_and_only_beyond_the_evidence():
-    """Load: an upstream is 2.5 times as slow for a time, and says so."""
+    """Guards against a slowdown that is noticed late, or that is counted twice.
+
+    Load: an upstream is 2.5 times as slow for a time, and says so.
+    """
     owner = Owner()
     report(owner, "u0", running=1.0, waiting=0.0, percent=100.0)
     report(owner, "u0", running=1.0, waiting=0.0, percent=240.0)
@@ -358,6 +365,7 @@
 
 
 def test_absurd_reports_are_bounded_and_age_out():
+    # Guards against one wrong report that keeps traffic away for good.
     owner = Owner()
     report(owner, "u0", running=1e308, waiting=1e308, percent=1e300)
     assert owner.choose() == "u1"
--- a/tests/test_spillover.py
+++ b/tests/test_spillover.py
@@ -183,6 +183,7 @@
 
 
 # Load: home has too little, and so has the other domain, then not, then again.
+# Guards against traffic that is sent into a domain that is short itself.
 def test_a_remote_domain_that_is_itself_short():
     policy = Adaptive(crossing_ms=3.0, crossing_ms_per_kb=0.5)
     spillover = Spillover(service="s", policy=policy)
@@ -308,5 +309,7 @@
 
 
 def test_an_owner_in_a_domain_without_upstreams_sends_all_away(monkeypatch):
+    # Guards against requests that wait at an owner for upstreams that its domain does
+    # not have.
     load = Load(monkeypatch, records=RECORDS[1:]).run(1_000.0, lambda _: HOME_PER_S)
     assert set(load.shares) == {1.0} and load.count_late() == 0
--- a/tests/test_workspaces.py
+++ b/tests/test_workspaces.py
@@ -85,6 +85,8 @@
     ],
 )
 def test_a_request_runs_only_under_the_workspace_of_its_one_key(entry, lines, expected):
+    # Guards against a key that is missing, repeated or altered and still accepted, and
+    # against a claimed workspace that reaches an upstream.
     publish_workspaces(
         entry, create_workspace("w", KEY), create_workspace("Größe", OTHER)
     )
@@ -145,6 +147,8 @@
 
 
 def test_a_request_that_moves_to_another_owner_keeps_workspace_and_rank(owner):
+    # Guards against a request that loses its workspace or rank when it is sent again,
+    # and against a key that reaches another instance.
     publish_workspaces(owner.env, create_workspace("w", KEY, rank="patient"))
     owner.env.open_caller().send(HEAD + key_line(KEY) + b"\r\n\r\n")
     wait_until(owner.list_sent, message="not dispatched")
