--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -52,7 +52,7 @@
 )
 
 HEALTH_CONNECTIONS = 64
-# Longer values of a refused request are cut off in the log.
+# The host and target of a refused request are cut to this length in the log.
 LOGGED_CHARACTERS = 256
 # Random bytes in the id of a request whose caller sends none.
 REQUEST_ID_BYTES = 8
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -91,7 +91,7 @@
         self._lock = threading.Lock()
 
     def limit(self, value: str) -> str:
-        """Returns the value as it is rendered, or `OTHER_LABEL` beside too many."""
+        """Returns the value as it is rendered, or `OTHER_LABEL` above the limit."""
         escaped = self._escaped_values.get(value)
         if escaped is not None:
             return escaped
@@ -160,7 +160,8 @@
 )
 cold_changes_total = Counter(
     "gooseberrymux_cold_changes_total",
-    "Upstreams with a limit for cold ones that became cold or warm, by state.",
+    "Changes of upstreams between cold and warm, by state; only where a rate limits "
+    "cold ones.",
 )
 callers_left_total = Counter(
     "gooseberrymux_callers_left_total", "Callers that left before their answer."
@@ -224,7 +225,7 @@
 )
 quota_requests_total = Counter(
     "gooseberrymux_quota_requests_total",
-    "Requests of workspaces with a quota by outcome (held: a token was there; granted: "
+    "Requests of workspaces with a quota by outcome (held: a token was held; granted: "
     "the first member asked granted one; granted_late: a later one did; refused).",
 )
 quota_grants_total = Counter(
--- a/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
@@ -159,11 +159,12 @@
 
 
 class KeptRequests:
-    """Queued requests of one service in the order in which they must leave.
+    """Queued requests of one service by the time until which they may wait for home.
 
     Not thread-safe: the pool holds its lock around each call. Requests that were sent
-    or settled are dropped when they come first, or once they are about half of all, as
-    one that waits for long would keep the bodies of all later ones in memory.
+    or settled are dropped when they come first, or once they are about half of all.
+    Otherwise one request that waits for long would keep the bodies of later ones in
+    memory.
     """
 
     __slots__ = ("_heap", "_counter", "_limit")
--- a/packages/gooseberrymux/src/gooseberrymux/quota_limits.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quota_limits.py
@@ -28,7 +28,7 @@
     Attributes:
         window_ms: Length of the window.
         share: Excess as a share of `rate x window + burst`.
-        requests: Excess in requests, beside the share.
+        requests: Excess in requests, in addition to the share.
     """
 
     window_ms: float
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -283,7 +283,8 @@
         spillover: Who may leave the owner's failure domain: any request without a free
             slot there (`fixed`), or as many as pay off (`adaptive`).
         crossing_ms: What an exchange with another failure domain costs, in ms.
-        crossing_ms_per_kb: What each KB of it costs, in ms.
+        crossing_ms_per_kb: What each KB (1,024 bytes) of its request and reply costs,
+            in ms.
     """
 
     extra_share: Share = 0.2
@@ -303,7 +304,7 @@
     Attributes:
         window_s: Seconds; the limit holds in any window of this length.
         tolerance_share: Excess as a share of the quota in a window.
-        tolerance_requests: Excess in requests, beside the share.
+        tolerance_requests: Excess in requests, in addition to the share.
     """
 
     window_s: Annotated[float, Meta(gt=0)] = 5.0
--- a/packages/gooseberrymux/src/gooseberrymux/workspace_requests.py
+++ b/packages/gooseberrymux/src/gooseberrymux/workspace_requests.py
@@ -28,7 +28,7 @@
 
 
 def classify_result(result: Result) -> str:
-    """Returns the label value of a result; a refusal promises that nothing has run."""
+    """Returns the outcome to count; `refused` only if nothing has run."""
     match result:
         case CallerLeft():
             return OUTCOME_LEFT
