--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -1,7 +1,6 @@
 """Entry point for callers: routes requests, writes replies and reports readiness."""
 
 import dataclasses
-import math
 import secrets
 import threading
 
@@ -15,7 +14,7 @@
     workspace_requests,
 )
 from gooseberrymux.admission import Admission
-from gooseberrymux.api_keys import CODE_UNKNOWN_KEY, ApiKeys
+from gooseberrymux.api_keys import ApiKeys
 from gooseberrymux.caller_memory import CallerMemory
 from gooseberrymux.caller_server import (
     CallerDisconnected,
@@ -25,6 +24,7 @@
 )
 from gooseberrymux.callers import DisconnectWatcher
 from gooseberrymux.calls import Inbox
+from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.forwarding import (
     CALLER_LEFT,
     STOP_WAITING,
@@ -36,6 +36,13 @@
     RoutedRequest,
 )
 from gooseberrymux.forwarding import Result as ForwardResult
+from gooseberrymux.gateway_refusals import (
+    NOT_READY_RETRY_MS,
+    create_leaving_refusal,
+    create_not_ready_refusal,
+    create_quota_refusal,
+    find_status,
+)
 from gooseberrymux.http_types import HttpReply, HttpRequest, remove_headers
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
@@ -56,24 +63,12 @@
 LOGGED_CHARACTERS = 256
 # Random bytes in the id of a request whose caller sends none.
 REQUEST_ID_BYTES = 8
-# Retry-After while this instance has no routes or upstreams yet, or is stopping.
-NOT_READY_RETRY_MS = 300
-MS_PER_S = 1_000
 # Before the end of a planned stop, the time in which requests that still wait for their
 # upstream are answered.
 STOP_ANSWER_MS = 150.0
 # In multiples of the route's latency target. A caller that has waited no longer than
 # this plus NOT_READY_RETRY_MS counts as new: it was refused early and told to retry.
 EARLY_RETRY_LATENCY_TARGETS = 0.25
-STATUS_BY_REFUSAL_CODE = {
-    CODE_UNKNOWN_KEY: 401,
-    "no_route": 404,
-    "malformed_request": 400,
-    "deadline": 504,
-    "deadline_expired": 503,
-    "quota_exceeded": 429,
-}
-STATUS_BY_RUN_STATE = {RunState.NOT_RUN: 503, RunState.UNKNOWN: 502}
 
 
 @service(
@@ -393,10 +388,7 @@
                 return self._create_refusal_reply(refusal)
 
     def _create_refusal_reply(self, refusal: Refusal) -> CallerReply:
-        status = (
-            STATUS_BY_REFUSAL_CODE.get(refusal.code)
-            or STATUS_BY_RUN_STATE[refusal.run_state]
-        )
+        status = find_status(refusal)
         headers: tuple[tuple[str, str], ...] = ()
         if refusal.retry_after_ms is not None:
             # Callers of the gateway accept fractions of a second in Retry-After.
@@ -480,48 +472,3 @@
         NOT_READY_RETRY_MS + EARLY_RETRY_LATENCY_TARGETS * route.latency_target_ms
     )
     return earlier_wait_ms if earlier_wait_ms > new_caller_limit_ms else 0.0
-
-
-def create_not_ready_refusal() -> Refusal:
-    """Returns the refusal while this instance has no routes or no upstreams."""
-    return create_temporary_refusal(
-        code="not_ready",
-        message="this instance does not know the routes and upstreams yet",
-        step="gateway.read",
-    )
-
-
-def create_quota_refusal(workspace: Workspace, retry_after_ms: float) -> Refusal:
-    """Returns the refusal of a request above the quota of its workspace."""
-    return Refusal(
-        code="quota_exceeded",
-        message=f"workspace {workspace.name!r} has used its quota of "
-        f"{workspace.rate_per_s:g} requests a second and a burst of "
-        f"{workspace.burst:g}",
-        run_state=RunState.NOT_RUN,
-        step="quotas.acquire",
-        retry_after_ms=math.ceil(retry_after_ms),
-    )
-
-
-def create_leaving_refusal() -> Refusal:
-    """Returns the refusal while this instance is stopping."""
-    return create_temporary_refusal(
-        code="instance_leaving",
-        message="this instance is stopping; ask another one",
-        step="gateway.drain",
-    )
-
-
-def create_temporary_refusal(*, code: str, message: str, step: str) -> Refusal:
-    """Returns a refusal with a delay after which a retry may succeed.
-
-    Another instance may accept the request at once.
-    """
-    return Refusal(
-        code=code,
-        message=message,
-        run_state=RunState.NOT_RUN,
-        step=step,
-        retry_after_ms=NOT_READY_RETRY_MS,
-    )
