--- a/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
+++ b/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
@@ -11,19 +11,20 @@
 from gooseberrymux.caller_budget import Holder
 from gooseberrymux.caller_memory import CallerConnections
 from gooseberrymux.clock import Clock
+from gooseberrymux.kernel import Kernel
 
 # How long the loop waits for a descriptor. The listener stays readable meanwhile, so
 # without a wait the loop would spin.
 SHORTAGE_PAUSE_MS = 50.0
-# At most one log line in this time says that descriptors, threads or memory lack.
+# Shortages of descriptors, threads or memory are logged at most once in this time.
 SHORTAGE_LOG_PERIOD_MS = 1_000.0
-# The caller has left before its connection was accepted. All other errors may last.
-PASSING_ERRORS = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EINTR})
+# The caller has left before its connection was accepted. All other errors may persist.
+TRANSIENT_ERRORS = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EINTR})
 # After a refusal, at most this many reads take what the caller has already sent.
 DISCARD_READS = 16
 DISCARD_BYTES = 65_536
 DISCARD_TIMEOUT_S = 0.1
-# The loop doesn't wait until a refused caller has taken this answer.
+# Sent without blocking, so that a refused caller can't hold up the loop.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n"
     b"retry-after: 0.500\r\ncontent-length: 42\r\nconnection: close\r\n\r\n"
@@ -35,15 +36,21 @@
     """Mixin of a cheroot server, in place of the loop that cheroot runs.
 
     That loop spins when the system has no descriptor left, and it knows no limits.
-    A subclass has the attributes below and starts the thread of a connection.
+    A subclass sets the attributes below.
 
     Attributes:
         connections: Accounts of the connections.
+        connection_set: The open connections, to be closed at a stop.
+        kernel: Spawns the threads of the connections.
         clock: The clock.
+        thread_prefix: Start of the names of these threads.
     """
 
     connections: CallerConnections
+    connection_set: "ConnectionSet"
+    kernel: Kernel
     clock: Clock
+    thread_prefix: str
     _shortage_logged_ms = -SHORTAGE_LOG_PERIOD_MS
 
     def serve(self) -> None:
@@ -80,8 +87,24 @@
             sock.close()
             self._record_shortage(error)
 
+    def process_conn(self, conn: "LimitedConnection") -> None:
+        """Starts the thread of a new connection, in place of cheroot's thread pool."""
+        self.kernel.spawn(
+            name=f"{self.thread_prefix}.{conn.remote_addr}:{conn.remote_port}",
+            target=lambda: self._serve_connection(conn),
+            is_essential=False,
+        )
+
+    def _serve_connection(self, conn: "LimitedConnection") -> None:
+        self.connection_set.add(conn)
+        try:
+            conn.serve()
+        finally:
+            self.connection_set.discard(conn)
+            conn.close()
+
     def _handle_accept_error(self, error: OSError) -> None:
-        if error.errno in PASSING_ERRORS:
+        if error.errno in TRANSIENT_ERRORS:
             return
         self._record_shortage(error)
         self.connections.shed_for_descriptor()
@@ -96,16 +119,16 @@
 
 
 class LimitedConnection(cheroot.server.HTTPConnection):
-    """A connection with an account.
+    """A connection whose use of the budget is recorded; a subclass has `serve`.
 
     Attributes:
-        holder: The account; set once the connection is accepted.
+        holder: Its account in the budget; set once the connection is accepted.
     """
 
     holder: Holder
 
     def discard_unread(self) -> None:
-        """Reads a little more, so that the caller gets the refusal before a reset.
+        """Reads a bounded part of the rest, so that the caller gets the refusal.
 
         The system resets a connection that is closed while data is unread.
         """
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -248,10 +248,13 @@
         connections_per_address: Connections of one caller's address; 0 for no limit.
         descriptors: Descriptors that the process may open; 0 for its own limit.
         descriptor_share: Share of the descriptors that callers may use.
-        min_bytes_per_s: Callers that send or read more slowly are closed.
-        crowded_bytes_per_s: Callers that do so more slowly give way first.
+        min_bytes_per_s: Bytes a second; the connections of callers that send or read
+            more slowly are closed.
+        crowded_bytes_per_s: Bytes a second; without room for all, the connections of
+            callers that send or read more slowly are closed first.
         small_piece_share: Share of a processor for bodies of many small chunks.
-        unproven_peer_connections: Connections to the peer port without a valid frame.
+        unproven_peer_connections: Connections to the peer port that have not sent a
+            valid frame yet.
     """
 
     memory_bytes: Annotated[int, Meta(ge=0)] = 0
@@ -280,7 +283,8 @@
         spillover: Who may leave the owner's failure domain: any request without a free
             slot there (`fixed`), or as many as pay off (`adaptive`).
         crossing_ms: What an exchange with another failure domain costs, in ms.
-        crossing_ms_per_kb: What each KB of it costs, in ms.
+        crossing_ms_per_kb: What each KB (1,024 bytes) of its request and reply costs,
+            in ms.
     """
 
     extra_share: Share = 0.2
@@ -300,7 +304,7 @@
     Attributes:
         window_s: Seconds; the limit holds in any window of this length.
         tolerance_share: Excess as a share of the quota in a window.
-        tolerance_requests: Excess in requests, beside the share.
+        tolerance_requests: Excess in requests, in addition to the share.
     """
 
     window_s: Annotated[float, Meta(gt=0)] = 5.0
