--- a/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_messages.py
@@ -40,7 +40,8 @@
         sent_ms: The entry's `Clock.boot_ms` when the call was created; 0 if unknown.
         workspace: Name of the caller's workspace; empty without one.
         answer_ms: Milliseconds left until the entry answers with the parts that it has
-            by then; at most 0 once that time has passed.
+            by then; at most 0 once that time has passed. None from an entry of the
+            release before, for which the latency target stands in.
     """
 
     id: str
@@ -61,7 +62,7 @@
     top: int = 0
     sent_ms: float = 0.0
     workspace: str = ""
-    answer_ms: float = 0.0
+    answer_ms: float | None = None
 
 
 @_message
--- a/packages/gooseberrymux/src/gooseberrymux/gateway.py
+++ b/packages/gooseberrymux/src/gooseberrymux/gateway.py
@@ -409,10 +409,9 @@
         table = self._routes.get_current()
         journal.record_event(
             "gateway.refused",
-            request_id=received.request.get_header(
-                self._header_names.request_id.lower()
-            )
-            or "",
+            request_id=(
+                received.request.get_header(self._header_names.request_id.lower()) or ""
+            )[:LOGGED_CHARACTERS],
             host=(received.request.get_header("host") or "")[:LOGGED_CHARACTERS],
             target=received.request.target[:LOGGED_CHARACTERS],
             generation=table.generation if table else None,
--- a/packages/gooseberrymux/src/gooseberrymux/merging.py
+++ b/packages/gooseberrymux/src/gooseberrymux/merging.py
@@ -20,6 +20,8 @@
 # to reach a small entry and to be decoded there. Parts that arrive later would make an
 # answer late that has too few parts without them.
 FLUSH_LEAD_MS = 6.0
+# How long before the latency target an entry answers that doesn't say so.
+DEFAULT_ANSWER_LEAD_MS = 7.0
 
 Reply = Callable[[PartOutcome], None]
 
@@ -112,6 +114,14 @@
         return merged
 
 
+def compute_flush_ms(call: ForwardCall) -> float:
+    """Returns after how many milliseconds an owner sends the parts of a call."""
+    answer_ms = call.answer_ms
+    if answer_ms is None:
+        answer_ms = call.target_ms - DEFAULT_ANSWER_LEAD_MS
+    return answer_ms - FLUSH_LEAD_MS
+
+
 def merge_records(bodies: Iterable[bytes], *, top: int) -> bytes:
     """Returns the `top` greatest records of all bodies, greatest first.
 
--- a/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pending_requests.py
@@ -12,7 +12,7 @@
     PartOutcome,
     PartReplied,
 )
-from gooseberrymux.merging import FLUSH_LEAD_MS
+from gooseberrymux.merging import compute_flush_ms
 from gooseberrymux.replicas import LatencyEstimate, Replica
 
 REASON_NO_REPLICA = "no_replica"
@@ -149,7 +149,7 @@
         until_ms = self.call.target_ms - ANSWER_RESERVE_MS
         if self.call.top:
             # Later parts reach the entry after it has answered without them.
-            until_ms = min(until_ms, self.call.answer_ms - FLUSH_LEAD_MS)
+            until_ms = min(until_ms, compute_flush_ms(self.call))
         return self.arrived_ms + until_ms
 
     def can_be_on_time(self, now_ms: float) -> bool:
--- a/packages/gooseberrymux/src/gooseberrymux/pools.py
+++ b/packages/gooseberrymux/src/gooseberrymux/pools.py
@@ -17,7 +17,7 @@
 )
 from gooseberrymux.inventory import Inventory
 from gooseberrymux.kernel import Kernel, LeaveStarted, service
-from gooseberrymux.merging import FLUSH_LEAD_MS, Collector
+from gooseberrymux.merging import Collector, compute_flush_ms
 from gooseberrymux.message_ages import MessageAges
 from gooseberrymux.peers import Peers
 from gooseberrymux.pending_requests import (
@@ -179,7 +179,7 @@
             collector.flush()
 
         self._dependencies.timers.call_at(
-            now_ms + max(0.0, call.answer_ms - FLUSH_LEAD_MS), flush_collector
+            now_ms + max(0.0, compute_flush_ms(call)), flush_collector
         )
         return collector.collect
 
@@ -261,11 +261,12 @@
         if delay_ms < DELAY_IGNORED_MS:
             return call
         metrics.call_delay_ms.observe({}, delay_ms)
+        answer_ms = call.answer_ms
         return dataclasses.replace(
             call,
             remaining_ms=call.remaining_ms - delay_ms,
             target_ms=call.target_ms - delay_ms,
-            answer_ms=call.answer_ms - delay_ms,
+            answer_ms=None if answer_ms is None else answer_ms - delay_ms,
         )
 
     def _handle_cancel(self, sender: InstanceIdentity, message: object) -> None:
--- a/packages/gooseberrymux/src/gooseberrymux/quotas.py
+++ b/packages/gooseberrymux/src/gooseberrymux/quotas.py
@@ -162,8 +162,11 @@
             self._request_ahead(workspace)
             return Admitted()
         if refused_ms is not None:
+            # The refusal just before has its log line; a workspace far above its quota
+            # would otherwise write one for each request.
+            metrics.quota_requests_total.inc({"outcome": "refused"})
             reason = "refused to this instance just before"
-            return self._refuse(workspace, retry_after_ms=refused_ms, reason=reason)
+            return Exceeded(retry_after_ms=refused_ms, reason=reason)
         return self._ask_members(workspace, until_ms)
 
     def _ask_members(
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -618,13 +618,14 @@
     """Guards against hedges whose replies come after the entry has answered.
 
     Load: one of many upstreams pauses; its part is asked for elsewhere while the reply
-    can still be merged.
+    can still be merged. An entry of the release before doesn't say when it answers.
     """
     pool = owner.pools._get_or_create_pool("s")
     latency = LatencyEstimate(median_ms=4.0, p95_ms=30.0)
     delays_ms = []
     for call in (
         create_call(target_ms=45.0, top=5, answer_ms=30.0),
+        create_call(target_ms=45.0, top=5),
         create_call(target_ms=45.0),
     ):
         request = PendingRequest(
@@ -638,7 +639,8 @@
         )
         delays_ms.append(pool._compute_hedge_delay_ms(request, 0.0))
     reply_ms = HEDGE_MIN_MEDIANS * latency.median_ms
-    assert delays_ms == [30.0 - FLUSH_LEAD_MS - reply_ms, 45.0 - 10.0 - reply_ms]
+    useful_ms = [30.0 - FLUSH_LEAD_MS, 45.0 - 7.0 - FLUSH_LEAD_MS, 45.0 - 10.0]
+    assert delays_ms == [end_ms - reply_ms for end_ms in useful_ms]
 
 
 def test_the_instances_of_a_service_are_described(owner):
