--- a/packages/gooseberrymux/src/gooseberrymux/peers.py
+++ b/packages/gooseberrymux/src/gooseberrymux/peers.py
@@ -5,7 +5,6 @@
 would otherwise not see that the peer was restarted.
 """
 
-import contextlib
 import dataclasses
 import secrets
 import threading
@@ -40,7 +39,6 @@
 from gooseberrymux.records import InstanceIdentity
 from gooseberrymux.sessions import Session, limit_library_threads
 from gooseberrymux.settings import Address
-from gooseberrymux.unproven_pipes import UnprovenPipes
 
 # The codec rejects frames over FRAME_LIMIT_BYTES, and they are counted as drops. Beyond
 # RECEIVE_LIMIT_BYTES pynng closes the connection before the frame is in memory.
@@ -123,7 +121,6 @@
         "_listener",
         "_stopping",
         "_drops",
-        "_unproven",
         "resets",
         "bytes_sent",
         "bytes_received",
@@ -141,9 +138,6 @@
         self._listener: pynng.Pull0 | None = None
         self._stopping = False
         self._drops = DropRecorder(clock=kernel.clock)
-        self._unproven = UnprovenPipes(
-            limit=kernel.settings.caller_limits.unproven_peer_connections
-        )
         self.resets = 0
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -157,10 +151,9 @@
         """Opens the listener and starts the thread that reads from it."""
         address = self._kernel.settings.instance.peers
         limit_library_threads()
-        self._listener = pynng.Pull0(recv_max_size=RECEIVE_LIMIT_BYTES)
-        self._listener.add_pre_pipe_connect_cb(self._limit_unproven_connections)
-        self._listener.add_post_pipe_remove_cb(self._unproven.discard)
-        self._listener.listen(f"tcp://{address}")
+        self._listener = pynng.Pull0(
+            listen=f"tcp://{address}", recv_max_size=RECEIVE_LIMIT_BYTES
+        )
         self._kernel.spawn(name="peers.listener", target=self._receive_frames)
 
     def drain(self, deadline_ms: float) -> None:
@@ -310,22 +303,6 @@
             self.bytes_sent += size
         metrics.peer_bytes_total.add({"direction": "sent"}, size)
 
-    def _limit_unproven_connections(self, pipe: pynng.Pipe) -> None:
-        """Closes the oldest connection without a valid frame if there are too many.
-
-        Members and seeds are exempt, as they all connect at once when a fleet starts.
-        """
-        oldest = self._unproven.add(pipe)
-        if oldest is None:
-            return
-        host = get_remote_host(oldest)
-        known = {link.address.host for link in list(self._links.values())}
-        known.update(seed.host for seed in self._kernel.settings.membership.seeds)
-        if host not in known:
-            self._record_drop("unproven_connection", host)
-            with contextlib.suppress(pynng.NNGException):
-                oldest.close()
-
     def _receive_frames(self) -> None:
         assert self._listener is not None
         while not self._stopping:
@@ -350,7 +327,7 @@
                 )
                 return
             case Ok(envelope):
-                self._unproven.discard(pipe)
+                pass
         if envelope.target not in ("", self.identity.name):
             self._record_drop("other_target", envelope.sender, envelope.target)
             return
--- a/packages/gooseberrymux/src/gooseberrymux/settings.py
+++ b/packages/gooseberrymux/src/gooseberrymux/settings.py
@@ -253,8 +253,6 @@
         crowded_bytes_per_s: Bytes a second; without room for all, the connections of
             callers that send or read more slowly are closed first.
         small_piece_share: Share of a processor for bodies of many small chunks.
-        unproven_peer_connections: Connections to the peer port that have not sent a
-            valid frame yet.
     """
 
     memory_bytes: Annotated[int, Meta(ge=0)] = 0
@@ -267,7 +265,6 @@
     min_bytes_per_s: Annotated[float, Meta(ge=0)] = 0.2
     crowded_bytes_per_s: Annotated[float, Meta(ge=0)] = 256.0
     small_piece_share: Annotated[float, Meta(gt=0, le=1)] = 0.25
-    unproven_peer_connections: Count = 16
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
