--- a/packages/gooseberrymux/src/gooseberrymux/caller_body.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_body.py
@@ -153,17 +153,25 @@
         worked_ms = 0.0
         try:
             started_ms = self._clock.now_ms()
-            self._feed(parser)
+            self._parse(parser)
             worked_ms = self._clock.now_ms() - started_ms
         finally:
             self._pieces.leave(worked_ms)
+        # May wait for room, which must not keep others from their turn.
+        self._hold_excess(parser)
 
     def _feed(self, parser: "ChunkParser") -> None:
+        self._parse(parser)
+        self._hold_excess(parser)
+
+    def _parse(self, parser: "ChunkParser") -> None:
         data = self._rfile.peek(1)
         if not data:
             raise create_cut_off_error()
         used = parser.feed(data)
         self._rfile.read(used)
+
+    def _hold_excess(self, parser: "ChunkParser") -> None:
         excess = len(parser.body) - COVERED_BODY_BYTES - self._held_bytes
         if excess > 0:
             self._hold(max(STEP_BYTES, excess))
