--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -614,15 +614,21 @@
     def __init__(self, *, machine: Instance, record: Record, prefix: str):
         self.machine = machine
         self._record = record
-        self._ids = itertools.count(1)
+        self._count = 0
         self._prefix = prefix
         self._connection: http.client.HTTPConnection | None = None
 
+    @property
+    def next_id(self) -> str:
+        """Id of the next request."""
+        return f"{self._prefix}{self._count + 1:05d}"
+
     def send(
         self, path: str, *, timeout_ms: int, method: str = "GET", body: bytes = b""
     ) -> Answer:
         """Sends one request and reads its answer."""
-        request_id = f"{self._prefix}{next(self._ids):05d}"
+        request_id = self.next_id
+        self._count += 1
         if self._connection is None:
             self._connection = http.client.HTTPConnection(
                 HOST, self.machine.front, timeout=timeout_ms / 1000 + 1.0
