--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -374,7 +374,7 @@
         for name, value in headers.items():
             handler.send_header(name, value)
         handler.send_header("Content-Length", str(len(body)))
-        if self.state == "draining":
+        if self.state == "draining" or handler.close_connection:
             handler.send_header("Connection", "close")
             handler.close_connection = True
         handler.end_headers()
