--- a/review/7/case.py
+++ b/review/7/case.py
@@ -122,10 +122,14 @@
         short = Requester(
             machine=machine, record=deployment.record, prefix=f"s{number}"
         )
-        threads.append(threading.Thread(target=ask, args=(short, stopping)))
+        threads.append(
+            threading.Thread(target=ask, args=(short, stopping), daemon=True)
+        )
     for number, machine in enumerate(deployment.machines):
         long = Requester(machine=machine, record=deployment.record, prefix=f"l{number}")
-        threads.append(threading.Thread(target=upload, args=(long, stopping)))
+        threads.append(
+            threading.Thread(target=upload, args=(long, stopping), daemon=True)
+        )
     for thread in threads:
         thread.start()
     time.sleep(LEAD_S)
--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -20,6 +20,7 @@
 import socket
 import socketserver
 import subprocess
+import sys
 import tempfile
 import threading
 import time
@@ -463,6 +464,7 @@
         self._process: subprocess.Popen | None = None
         self._expects_end = False
         self._stopping = False
+        self._lock = threading.Lock()
 
     def start(self, seeds: list[str], role: dict) -> None:
         """Writes the settings and starts the process and its supervisor."""
@@ -535,7 +537,8 @@
 
     def stop(self) -> None:
         """Ends the process for good."""
-        self._stopping = True
+        with self._lock:
+            self._stopping = True
         if self._process is not None:
             with contextlib.suppress(ProcessLookupError):
                 self._process.kill()
@@ -564,9 +567,10 @@
                 "process ended", machine=self.name, code=code, expected=expected
             )
             time.sleep(RESTART_DELAY_S)
-            if self._stopping:
-                return
-            self._launch(command, environment)
+            with self._lock:
+                if self._stopping:
+                    return
+                self._launch(command, environment)
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -786,16 +790,19 @@
         machines: How many machines the deployment has.
     """
     deployment = Deployment(folder=folder, machines=machines)
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
     try:
         broken = run(deployment)
         for line in broken:
             deployment.record.write("rule broken", what=line)
             print(line)
         code = BROKEN if broken else HELD
+        deployment.record.write("result", exit=code, trouble=has_trouble())
     except CaseNotRunError as error:
         deployment.record.write("case not run", why=str(error))
         print(f"not run: {error}")
         code = NOT_RUN
-    deployment.record.write("result", exit=code, trouble=has_trouble())
-    deployment.stop(keep_logs=bool(os.environ.get("KEEP_LOGS")))
+    finally:
+        deployment.stop(keep_logs=bool(os.environ.get("KEEP_LOGS")))
+    print(f"exit {code}, trouble {has_trouble()}")
     return code
