--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,9 +13,11 @@
 sys.path.insert(0, str(FOLDER.parent / "stand2"))
 
 from stand import (  # noqa: E402
+    Answer,
     Deployment,
     Requester,
     Server,
+    check_service,
     create_route,
     has_trouble,
     run_case,
@@ -55,24 +57,34 @@
         self.early = 0
         self.is_faulty = False
         self.answers = 0
+        # Counts of the present time at fault alone, for the dose.
+        self._early_now = 0
+        self._answers_now = 0
         # Segments as on a network, and a small window: the loopback interface would
         # take the whole body at once.
         listener = self._listener.socket
         listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
 
+    def begin_fault(self) -> None:
+        """Begins a time at fault."""
+        self._early_now = self._answers_now = 0
+        self.is_faulty = True
+
     def serve(self, handler: http.server.BaseHTTPRequestHandler) -> None:
         """Reads a request and runs it, or rejects a long one early."""
         length = int(handler.headers.get("Content-Length") or 0)
         if self.is_faulty:
             self.answers += 1
-        may_spoil = self.early + 1 <= EARLY_SHARE * self.answers
+            self._answers_now += 1
+        may_spoil = self._early_now + 1 <= EARLY_SHARE * self._answers_now
         if not (self.is_faulty and may_spoil and length > LONG_BYTES):
             # Now and then a server closes after an answer; these do after a long body.
             handler.close_connection = length > LONG_BYTES
             super().serve(handler)
             return
         self.early += 1
+        self._early_now += 1
         request_id = handler.headers.get("X-Request-Id", "")
         headers = {"X-Request-Id": request_id, "X-Not-Executed": "1"}
         self.record.write("rejects early", server=self.name, request=request_id)
@@ -116,6 +128,7 @@
     deployment.write_config(3, routes, [SERVICE])
     deployment.start()
     stopping = threading.Event()
+    answers: list[Answer] = []
     threads = []
     for number in range(SHORT_REQUESTERS):
         machine = deployment.machines[number % len(deployment.machines)]
@@ -123,24 +136,26 @@
             machine=machine, record=deployment.record, prefix=f"s{number}"
         )
         threads.append(
-            threading.Thread(target=ask, args=(short, stopping), daemon=True)
+            threading.Thread(target=ask, args=(short, answers, stopping), daemon=True)
         )
     for number, machine in enumerate(deployment.machines):
         long = Requester(machine=machine, record=deployment.record, prefix=f"l{number}")
         threads.append(
-            threading.Thread(target=upload, args=(long, stopping), daemon=True)
+            threading.Thread(target=upload, args=(long, answers, stopping), daemon=True)
         )
     for thread in threads:
         thread.start()
     time.sleep(LEAD_S)
     for _ in range(TIMES):
-        servers[0].is_faulty = has_trouble()
+        if has_trouble():
+            servers[0].begin_fault()
         time.sleep(EARLY_S)
         servers[0].is_faulty = False
         time.sleep(LEAD_S)
     stopping.set()
     for thread in threads:
         thread.join()
+    check_service(answers)
     spoiled = servers[0].spoiled
     deployment.record.write(
         "summary", early=servers[0].early, answers=servers[0].answers, spoiled=spoiled
@@ -179,18 +194,24 @@
     return min(len(one), len(other))
 
 
-def ask(requester: Requester, stopping: threading.Event) -> None:
+def ask(requester: Requester, answers: list[Answer], stopping: threading.Event) -> None:
     """Sends short requests."""
     while not stopping.is_set():
-        requester.send("/short/2f", timeout_ms=TIMEOUT_MS, method="POST", body=b"1")
+        answers.append(
+            requester.send("/short/2f", timeout_ms=TIMEOUT_MS, method="POST", body=b"1")
+        )
         time.sleep(PAUSE_S)
 
 
-def upload(requester: Requester, stopping: threading.Event) -> None:
+def upload(
+    requester: Requester, answers: list[Answer], stopping: threading.Event
+) -> None:
     """Sends long requests."""
     while not stopping.is_set():
         body = create_upload(requester.next_id)
-        requester.send("/long/2f", timeout_ms=TIMEOUT_MS, method="POST", body=body)
+        answers.append(
+            requester.send("/long/2f", timeout_ms=TIMEOUT_MS, method="POST", body=body)
+        )
         time.sleep(UPLOAD_PAUSE_S)
 
 
--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -25,6 +25,7 @@
 import threading
 import time
 import tomllib
+import traceback
 import urllib.parse
 from collections.abc import Callable
 from pathlib import Path
@@ -37,7 +38,9 @@
 PAGE_ITEMS = 50
 PORT_RANGE = (20_000, 32_000)
 HEARTBEAT_S = 1.2
+SILENT_HEARTBEATS = 3
 READY_TIMEOUT_S = 30.0
+LEAST_SERVED = 100
 RESTART_DELAY_S = 0.3
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -141,6 +144,8 @@
         self._events: list[Event] = []
         self._revision = 100
         self._changed = threading.Condition()
+        # When each entry of kind `servers` was last written.
+        self._written_s: dict[str, float] = {}
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -164,10 +169,33 @@
 
         self._listener = ThreadedServer(Handler)
         self.port = self._listener.port
+        threading.Thread(target=self._expire_silent, daemon=True).start()
+
+    def keep_written(self, name: str, spec: dict) -> None:
+        """Writes an entry of kind `servers` now and every heartbeat, as servers do."""
+
+        def write_often() -> None:
+            for sequence in itertools.count(1):
+                self.write("servers", name, {**spec, "sequence": sequence})
+                time.sleep(HEARTBEAT_S)
+
+        threading.Thread(target=write_often, daemon=True).start()
+
+    def _expire_silent(self) -> None:
+        """Removes entries of kind `servers` after three heartbeats of silence."""
+        while True:
+            time.sleep(HEARTBEAT_S / 4)
+            before_s = time.monotonic() - SILENT_HEARTBEATS * HEARTBEAT_S
+            with self._changed:
+                silent = [n for n, at_s in self._written_s.items() if at_s < before_s]
+            for name in silent:
+                self.remove("servers", name)
 
     def write(self, kind: str, name: str, spec: object) -> None:
         """Creates or replaces an object; an equal one is left as it is."""
         with self._changed:
+            if kind == "servers":
+                self._written_s[name] = time.monotonic()
             known = self._objects.get((kind, name))
             if known is not None and known["spec"] == spec:
                 return
@@ -188,6 +216,8 @@
     def remove(self, kind: str, name: str) -> None:
         """Removes an object."""
         with self._changed:
+            if kind == "servers":
+                self._written_s.pop(name, None)
             item = self._objects.pop((kind, name), None)
             if item is not None:
                 self._revision += 1
@@ -197,7 +227,8 @@
     def read(self, target: str) -> tuple[int, dict]:
         """Returns status and body of the answer to a GET."""
         parts = urllib.parse.urlsplit(target)
-        query = dict(urllib.parse.parse_qsl(parts.query))
+        # Any name that the store holds can be named in a query, odd ones too.
+        query = dict(urllib.parse.parse_qsl(parts.query, errors="surrogatepass"))
         kind, _, name = parts.path.removeprefix("/-/objects/").partition("/")
         with self._changed:
             if name:
@@ -514,16 +545,6 @@
             self._process.send_signal(number)
         return self._record.write("signal", machine=self.name, name=number.name)
 
-    @property
-    def process_id(self) -> int:
-        """Id of the present process."""
-        return self._process.pid
-
-    def kill_for_memory(self) -> None:
-        """Kills the process, which counts as an end of its own."""
-        with contextlib.suppress(ProcessLookupError):
-            self._process.kill()
-
     def is_ready(self) -> bool:
         """Asks the instance as the platform does each second."""
         connection = http.client.HTTPConnection(HOST, self.ready, timeout=1.0)
@@ -764,6 +785,13 @@
             shutil.rmtree(self._folder, ignore_errors=True)
 
 
+def check_service(answers: list[Answer]) -> None:
+    """Raises an error unless requests were served at all, so that a pass means much."""
+    served = sum(answer.status == 200 for answer in answers)
+    if served < LEAST_SERVED:
+        raise CaseNotRunError(f"only {served} requests were served")
+
+
 def create_route(name: str, prefix: str, **fields: object) -> dict:
     """Returns a route of the desired state."""
     return {
@@ -779,6 +807,13 @@
     }
 
 
+def end_early(number: int, frame: object) -> None:
+    """Ends the case on a signal; further signals don't interrupt the clean-up."""
+    for other in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(other, signal.SIG_IGN)
+    sys.exit(NOT_RUN)
+
+
 def run_case(
     folder: Path, run: Callable[[Deployment], list[str]], *, machines: int = 3
 ) -> int:
@@ -789,20 +824,23 @@
         run: Runs the case and returns a line for each way in which the rule was broken.
         machines: How many machines the deployment has.
     """
-    deployment = Deployment(folder=folder, machines=machines)
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(NOT_RUN))
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_early)
+    deployment = None
+    code = NOT_RUN
     try:
+        deployment = Deployment(folder=folder, machines=machines)
         broken = run(deployment)
         for line in broken:
             deployment.record.write("rule broken", what=line)
             print(line)
         code = BROKEN if broken else HELD
         deployment.record.write("result", exit=code, trouble=has_trouble())
-    except CaseNotRunError as error:
-        deployment.record.write("case not run", why=str(error))
-        print(f"not run: {error}")
-        code = NOT_RUN
+    except Exception:
+        # An error of the script says nothing about the rule.
+        traceback.print_exc()
     finally:
-        deployment.stop(keep_logs=bool(os.environ.get("KEEP_LOGS")))
+        if deployment is not None:
+            deployment.stop(keep_logs=bool(os.environ.get("KEEP_LOGS")))
     print(f"exit {code}, trouble {has_trouble()}")
     return code
