Log replies of upstreams that come before their request is written

The log could not tell three hypotheses apart: a connection counts as idle while the body is still being written; two exchanges run on one connection at a time; the rest of a body is written to a descriptor that was closed and given to another connection.

The line connections.early_reply names upstream, request, status and how much was written; gooseberrymux_early_replies_total counts them.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -65,6 +65,7 @@
         deadline_ms: When to stop waiting for the reply.
         sent_ms: When the request was handed to the connection.
         bytes_written: Number of bytes of the request written so far.
+        size_bytes: Number of bytes of the whole request; 0 before it is encoded.
         aborted: Whether the exchange was aborted because its reply is no longer needed.
     """
 
@@ -73,6 +74,7 @@
     deadline_ms: float
     sent_ms: float
     bytes_written: int = 0
+    size_bytes: int = 0
     aborted: bool = False
 
 
@@ -258,13 +260,15 @@
             )
 
     def _encode_request(self, exchange: Exchange) -> bytes:
-        return encode_request(
+        request = encode_request(
             exchange.call,
             exchange.head,
             names=self._names,
             upstream=self._record.name,
             remaining_ms=exchange.deadline_ms - self._clock.now_ms(),
         )
+        exchange.size_bytes = len(request)
+        return request
 
     def _try_connect_and_write(self, exchange: Exchange) -> NotSent | Broken | None:
         try:
@@ -376,6 +380,8 @@
             # A reply that is delimited by the end of the connection looks complete
             # when this side closes the socket.
             return Broken(reason=REASON_ABORTED), False
+        if exchange.bytes_written < exchange.size_bytes:
+            self._record_early_reply(exchange, reply)
         self._last_used_ms = self._clock.now_ms()
         self._idle_limit_ms = parse_idle_limit_ms(reply.headers)
         result = classify_reply(
@@ -398,6 +404,18 @@
         )
         return result, not must_close
 
+    def _record_early_reply(self, exchange: Exchange, reply: ParsedReply) -> None:
+        """Logs a reply that came before its request was written."""
+        metrics.early_replies_total.inc({})
+        journal.record_event(
+            "connections.early_reply",
+            upstream=self._record.name,
+            request_id=exchange.call.request_id,
+            status=reply.status,
+            bytes_written=exchange.bytes_written,
+            size_bytes=exchange.size_bytes,
+        )
+
     def _is_copy_recognizable(self, reply: ParsedReply, result: Result) -> bool:
         """Returns whether a late copy of a reply would not pass for the next reply.
 
--- a/packages/gooseberrymux/src/gooseberrymux/metrics.py
+++ b/packages/gooseberrymux/src/gooseberrymux/metrics.py
@@ -163,6 +163,10 @@
     "Changes of upstreams between cold and warm, by state; only where a rate limits "
     "cold ones.",
 )
+early_replies_total = Counter(
+    "gooseberrymux_early_replies_total",
+    "Replies of upstreams that came before their request was written.",
+)
 callers_left_total = Counter(
     "gooseberrymux_callers_left_total", "Callers that left before their answer."
 )
