End the write of a request before its connection is used again

Callers saw 502 for a request that an upstream had read as the rest of another request's body; an upstream that runs what it reads would have run a body that nobody sent (UNASKED).

Cause: what a socket did not take at once was written by a thread that nothing waited for. A reply that came before made the connection idle, and the next request was written at once. The same thread also outlived aborts and the close of its descriptor, and on a new connection the reply was read only once the body was written.

Change: request_writer writes a request, without blocking and under a lock, and is ended before its connection is used again or closed. A connection whose reply was complete before its request was written is closed; the answer is passed on. Replies are read while the body is written on new connections too.

Why it works: the decision whether to reuse is taken after the write has ended, on the exact number of bytes that the system has taken, so no byte of another request can stand before the rest of the body.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -4,6 +4,9 @@
 connection reads the reply. The reader also blocks on the socket while the connection is
 idle, so that a connection that the upstream closes, or on which it sends unsolicited
 bytes, is never used again.
+
+An exchange is over when both directions are: a connection on which the reply was
+complete before the request was written is closed.
 """
 
 import dataclasses
@@ -17,6 +20,7 @@
 from gooseberrymux.clock import MS_PER_S, Clock
 from gooseberrymux.exchange import (
     NODELAY_OPTIONS,
+    REASON_BROKEN,
     REASON_CONNECT,
     REASON_DEADLINE,
     classify_error,
@@ -37,6 +41,7 @@
 from gooseberrymux.records import UpstreamRecord
 from gooseberrymux.reply_memory import ReplyMemory
 from gooseberrymux.reply_parser import ParsedReply, ReplyError, ReplyParser
+from gooseberrymux.request_writer import RequestWriter
 from gooseberrymux.settings import HeaderNames
 
 CONNECT_TIMEOUT_MS = 400.0
@@ -64,8 +69,6 @@
         head: The encoded request line and end-to-end headers.
         deadline_ms: When to stop waiting for the reply.
         sent_ms: When the request was handed to the connection.
-        bytes_written: Number of bytes of the request written so far.
-        size_bytes: Number of bytes of the whole request; 0 before it is encoded.
         aborted: Whether the exchange was aborted because its reply is no longer needed.
     """
 
@@ -73,8 +76,6 @@
     head: bytes
     deadline_ms: float
     sent_ms: float
-    bytes_written: int = 0
-    size_bytes: int = 0
     aborted: bool = False
 
 
@@ -109,6 +110,7 @@
         "_condition",
         "_socket",
         "_current",
+        "_writer",
         "_last_used_ms",
         "_idle_limit_ms",
         "_closed",
@@ -136,6 +138,9 @@
         self._condition = threading.Condition()
         self._socket: socket.socket | None = None
         self._current: Exchange | None = None
+        # Writes the request of the current exchange to the open socket; None if the
+        # write has not been started.
+        self._writer: RequestWriter | None = None
         self._last_used_ms = 0.0
         self._idle_limit_ms = float("inf")
         self._closed = False
@@ -226,40 +231,13 @@
             limit_ms = min(limit_ms, NON_REPEATABLE_IDLE_LIMIT_MS)
         if idle_ms >= limit_ms:
             return False
-        request = self._encode_request(exchange)
-        try:
-            exchange.bytes_written = sock.send(request, socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            pass
-        except OSError:
-            # The upstream closed the connection, and nothing was written.
-            return False
-        if exchange.bytes_written < len(request):
-            threading.Thread(
-                target=self._write_remainder,
-                args=(sock, exchange, request),
-                daemon=True,
-            ).start()
-        return True
+        return self._start_write(sock, exchange)
 
-    def _write_remainder(
-        self, sock: socket.socket, exchange: Exchange, request: bytes
-    ) -> None:
-        """Writes what did not fit into the socket's buffer, in a separate thread."""
-        try:
-            while exchange.bytes_written < len(request):
-                remainder = memoryview(request)[exchange.bytes_written :]
-                exchange.bytes_written += sock.send(remainder)
-        except OSError as error:
-            # The reading thread also sees that the connection ended and reports it.
-            journal.record_event(
-                "connections.write_failed",
-                upstream=self._record.name,
-                request_id=exchange.call.request_id,
-                error=str(error),
-            )
+    def _start_write(self, sock: socket.socket, exchange: Exchange) -> bool:
+        """Starts writing a request; requires the lock.
 
-    def _encode_request(self, exchange: Exchange) -> bytes:
+        Returns False, with nothing written, if the upstream has closed the connection.
+        """
         request = encode_request(
             exchange.call,
             exchange.head,
@@ -267,8 +245,18 @@
             upstream=self._record.name,
             remaining_ms=exchange.deadline_ms - self._clock.now_ms(),
         )
-        exchange.size_bytes = len(request)
-        return request
+        writer = RequestWriter(
+            sock=sock,
+            request=request,
+            upstream=self._record.name,
+            request_id=exchange.call.request_id,
+        )
+        try:
+            writer.start()
+        except OSError:
+            return False
+        self._writer = writer
+        return True
 
     def _try_connect_and_write(self, exchange: Exchange) -> NotSent | Broken | None:
         try:
@@ -279,11 +267,11 @@
             journal.record_fault(step="connections.write", peer=peer, error=error)
             metrics.faults_total.inc({"step": "connections.write"})
             self._close_socket()
-            if exchange.bytes_written:
+            if self._has_written():
                 return Broken(reason=REASON_INTERNAL)
             return NotSent(reason=REASON_CONNECT)
 
-    def _connect_and_write(self, exchange: Exchange) -> NotSent | Broken | None:
+    def _connect_and_write(self, exchange: Exchange) -> NotSent | None:
         """Opens a socket and writes a request; returns the failure, or None.
 
         The thread may run long after the exchange was started, so whether it is still
@@ -312,21 +300,14 @@
         if reason := self._find_obstacle(exchange):
             self._close_socket()
             return NotSent(reason=reason)
-        request = self._encode_request(exchange)
-        try:
-            while exchange.bytes_written < len(request):
-                exchange.bytes_written += sock.send(
-                    memoryview(request)[exchange.bytes_written :]
-                )
-        except OSError as error:
-            self._close_socket()
-            if not exchange.bytes_written:
-                return NotSent(reason=REASON_CONNECT)
-            return Broken(reason=classify_error(error))
-        # Reads have no timeout: at the deadline the pool aborts the exchange, which
-        # ends a blocked read.
+        # Reads and writes have no timeout: at the deadline the pool aborts the
+        # exchange, which ends a blocked one.
         sock.settimeout(None)
-        return None
+        with self._condition:
+            if self._start_write(sock, exchange):
+                return None
+        self._close_socket()
+        return NotSent(reason=REASON_CONNECT)
 
     def _find_obstacle(self, exchange: Exchange) -> str | None:
         """Returns the reason code for not sending an exchange, or None."""
@@ -347,11 +328,14 @@
             first = self._buffer[:0]
         with self._condition:
             exchange = self._current
-        if exchange is None or not (first or exchange.bytes_written):
+        if exchange is None or not self._has_written():
             if first:
-                # Bytes that arrive while no request is pending belong to none.
+                # Bytes that arrive before a request is sent are not its reply.
                 metrics.dropped_total.inc({"reason": "unasked_reply"})
             self._close_socket()
+            if exchange is not None and self._has_written():
+                # The write began while the connection was being closed.
+                self._finish_exchange(exchange, Broken(reason=REASON_BROKEN))
             return False
         result, is_reusable = self._receive_reply(sock, first, exchange)
         if not is_reusable:
@@ -380,7 +364,8 @@
             # A reply that is delimited by the end of the connection looks complete
             # when this side closes the socket.
             return Broken(reason=REASON_ABORTED), False
-        if exchange.bytes_written < exchange.size_bytes:
+        is_written = self._end_write()
+        if not is_written:
             self._record_early_reply(exchange, reply)
         self._last_used_ms = self._clock.now_ms()
         self._idle_limit_ms = parse_idle_limit_ms(reply.headers)
@@ -397,23 +382,36 @@
             # Bytes after a complete reply belong to no request.
             metrics.dropped_total.inc({"reason": "bytes_after_reply"})
         must_close = (
-            reply.closes_connection
+            not is_written
+            or reply.closes_connection
             or parser.has_excess
             or isinstance(result, Broken)
             or not self._is_copy_recognizable(reply, result)
         )
         return result, not must_close
 
+    def _has_written(self) -> bool:
+        """Returns whether a byte of the current request is on the open socket."""
+        return self._writer is not None and self._writer.bytes_written > 0
+
+    def _end_write(self) -> bool:
+        """Ends the write of the current request; returns whether it is complete."""
+        if self._writer is None:
+            return False
+        self._writer.end()
+        return self._writer.is_complete
+
     def _record_early_reply(self, exchange: Exchange, reply: ParsedReply) -> None:
-        """Logs a reply that came before its request was written."""
+        """Logs a reply that was complete before its request was written."""
+        assert self._writer is not None
         metrics.early_replies_total.inc({})
         journal.record_event(
             "connections.early_reply",
             upstream=self._record.name,
             request_id=exchange.call.request_id,
             status=reply.status,
-            bytes_written=exchange.bytes_written,
-            size_bytes=exchange.size_bytes,
+            bytes_written=self._writer.bytes_written,
+            size_bytes=self._writer.size_bytes,
         )
 
     def _is_copy_recognizable(self, reply: ParsedReply, result: Result) -> bool:
@@ -465,11 +463,13 @@
     def _finish_exchange(self, exchange: Exchange, result: Result) -> None:
         with self._condition:
             self._current = None
+            self._writer = None
         self._on_result(self, exchange, result)
 
     def _close_socket(self) -> None:
         with self._condition:
             sock, self._socket = self._socket, None
+        self._end_write()
         if sock is not None:
             sock.close()
 
--- a/tests/http_scripted.py
+++ b/tests/http_scripted.py
@@ -42,11 +42,7 @@
 
     def reset(self):
         """Closes the connection with a TCP reset instead of a FIN."""
-        linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        # The file descriptor stays open until its buffered reader is closed as well.
-        self._stream.close()
-        self.sock.close()
+        reset(self.sock, self._stream)
 
     def close(self):
         self.sock.shutdown(socket.SHUT_RDWR)
@@ -66,6 +62,10 @@
         self.requests = []
         self.connections = 0
         self.connections_ended = threading.Semaphore(0)
+        # Cleared while bodies are left unread.
+        self._reads_bodies = threading.Event()
+        self._reads_bodies.set()
+        self._is_reset = False
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -75,6 +75,15 @@
             self._listener.shutdown(socket.SHUT_RDWR)
         self._listener.close()
 
+    def stop_reading(self):
+        """Leaves the bodies of further requests unread."""
+        self._reads_bodies.clear()
+
+    def reset_connections(self):
+        """Resets the connections with an unread body."""
+        self._is_reset = True
+        self._reads_bodies.set()
+
     def create_record(self, name="u", **fields):
         given = {"service": "s", "failure_domain": "a", "slots": 2, **fields}
         return UpstreamRecord(name=name, host="127.0.0.1", port=self.port, **given)
@@ -95,6 +104,9 @@
                 while field := stream.readline().decode().strip():
                     name, _, value = field.partition(":")
                     headers[name.lower()] = value.strip()
+                self._reads_bodies.wait(10)
+                if self._is_reset:
+                    reset(sock, stream)
                 body = stream.read(int(headers.get("content-length", 0)))
                 request = ReceivedRequest(
                     sock=sock, stream=stream, line=line, headers=headers, body=body
@@ -104,6 +116,15 @@
         self.connections_ended.release()
 
 
+def reset(sock, stream):
+    """Closes a connection with a TCP reset instead of a FIN."""
+    linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    # The file descriptor stays open until its buffered reader is closed as well.
+    stream.close()
+    sock.close()
+
+
 class HttpCaller:
     """A caller's connection that writes raw bytes and reads replies."""
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -43,6 +43,8 @@
 ORDER = dataclasses.replace(
     CALL, method="POST", repeatable=False, body=b"order", request_id="r-2"
 )
+# Longer than what the buffers of both ends take.
+LONG_ORDER = dataclasses.replace(ORDER, body=b"b" * 8_000_000)
 
 
 class ConnectionDriver:
@@ -110,6 +112,12 @@
         return driver.results.get(timeout=5)
 
 
+def count_writers():
+    """Returns how many threads write the rest of a request."""
+    names = [thread.name for thread in threading.enumerate()]
+    return sum(name.startswith("connections.write") for name in names)
+
+
 def wait_until_closed(driver):
     wait_until(lambda: not driver.is_open, message="still open")
 
@@ -474,14 +482,18 @@
 
 
 class EarlyAnsweringUpstream:
-    """Answers the second request before it has read the body, and reads on later.
+    """Rejects requests before it has read their body, and reads on after the last.
+
+    Args:
+        requests: How many requests it rejects.
 
     Attributes:
-        body: What came where the body of the second request is due.
+        body: What came where the body of the last request is due.
     """
 
-    def __init__(self):
+    def __init__(self, requests):
         self.body = b""
+        self._requests = requests
         self.reads_on = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0))
         # A small window, so that the rest of the body can't be written before.
@@ -501,7 +513,7 @@
 
     def _serve(self):
         sock, _ = self._listener.accept()
-        for _ in range(2):
+        for _ in range(self._requests):
             self._reject(sock)
         self.reads_on.wait(5)
         sock.settimeout(1.0)
@@ -529,18 +541,82 @@
 # Guards against a request that an upstream reads as the rest of the body before: it has
 # answered that request early, while its body was still being written.
 def test_no_request_follows_on_a_socket_while_a_body_is_being_written():
-    upstream = EarlyAnsweringUpstream()
+    upstream = EarlyAnsweringUpstream(requests=2)
     driver = ConnectionDriver(upstream.create_record())
-    body = b"b" * 8_000_000
     assert isinstance(run_exchange(driver), Declined)
-    long = run_exchange(driver, dataclasses.replace(ORDER, body=body))
-    assert isinstance(long, Declined)
+    assert isinstance(run_exchange(driver, LONG_ORDER), Declined)
     next_order = dataclasses.replace(ORDER, request_id="r-3", body=b"next")
     driver.start_exchange(next_order, 1_500.0)
     upstream.reads_on.set()
     upstream.close()
     driver.close()
-    assert set(upstream.body[: len(body)]) <= {ord("b")}
+    assert set(upstream.body[: len(LONG_ORDER.body)]) <= {ord("b")}
+
+
+def test_an_early_answer_on_a_new_connection_is_passed_on():
+    # Guards against an answer that is read only once the whole body is written, by when
+    # the exchange has failed and a request that was rejected counts as unknown.
+    upstream = EarlyAnsweringUpstream(requests=1)
+    driver = ConnectionDriver(upstream.create_record())
+    assert isinstance(run_exchange(driver, LONG_ORDER), Declined)
+    assert not driver.is_open
+    upstream.reads_on.set()
+    upstream.close()
+    driver.close()
+
+
+@pytest.mark.parametrize("is_first", [True, False], ids=["new", "kept"])
+def test_an_abort_within_a_body_ends_its_write(start_upstream, is_first):
+    # Guards against a thread that writes on after its connection is closed: its
+    # descriptor may then belong to another connection.
+    upstream, driver = start_upstream()
+    if not is_first:
+        run_exchange(driver)
+    upstream.stop_reading()
+    exchange = driver.start_exchange(LONG_ORDER, budget_ms=9e3)
+    wait_until(count_writers, message="the body is not being written")
+    driver.connection.abort(exchange)
+    assert driver.results.get(timeout=5) == Broken(reason="aborted")
+    assert not driver.is_open
+    assert not count_writers()
+
+
+def test_an_upstream_that_ends_within_a_body_gets_the_request_once(start_upstream):
+    # Guards against a request that is sent again after a part of it was written.
+    upstream, driver = start_upstream()
+    run_exchange(driver)
+    upstream.stop_reading()
+    driver.start_exchange(LONG_ORDER, budget_ms=9e3)
+    wait_until(count_writers, message="the body is not being written")
+    upstream.reset_connections()
+    assert isinstance(driver.results.get(timeout=5), Broken)
+    assert upstream.connections == 1
+
+
+def test_long_bodies_that_are_read_keep_their_connection(start_upstream):
+    # Guards against a connection for each long body: its write is known to be complete
+    # only after the answer has come.
+    upstream, driver = start_upstream()
+    assert all(isinstance(run_exchange(driver, LONG_ORDER), Replied) for _ in range(10))
+    assert upstream.connections == 1
+
+
+def test_without_a_thread_for_the_body_its_exchange_fails_only(
+    start_upstream, monkeypatch
+):
+    # Guards against an error in the thread that submits the request, which holds the
+    # lock of the pool, when the system has no thread left.
+    def refuse():
+        raise RuntimeError("can't start new thread")
+
+    upstream, driver = start_upstream()
+    run_exchange(driver)
+    upstream.stop_reading()
+    with monkeypatch.context() as patched:
+        patched.setattr(threading.Thread, "start", lambda thread: refuse())
+        driver.start_exchange(LONG_ORDER)
+    assert isinstance(driver.results.get(timeout=5), Broken)
+    assert not driver.is_open
 
 
 @pytest.mark.parametrize(
