Take no reply for whole whose connection was reset under the write

Cause: the system reports a reset once. If the thread that writes the body is told, the thread that reads sees an orderly end, which completes a reply that ends with its connection.

Change: the writer keeps that it met a reset, and such a reply is broken off.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -367,6 +367,8 @@
         is_written = self._end_write()
         if not is_written:
             self._record_early_reply(exchange, reply)
+        if reply.ends_with_connection and self._was_reset():
+            return Broken(reason=REASON_BROKEN), False
         self._last_used_ms = self._clock.now_ms()
         self._idle_limit_ms = parse_idle_limit_ms(reply.headers)
         result = classify_reply(
@@ -401,6 +403,10 @@
         self._writer.end()
         return self._writer.is_complete
 
+    def _was_reset(self) -> bool:
+        """Returns whether the write of the current request met a reset."""
+        return self._writer is not None and self._writer.was_reset
+
     def _record_early_reply(self, exchange: Exchange, reply: ParsedReply) -> None:
         """Logs a reply that was complete before its request was written."""
         assert self._writer is not None
--- a/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
+++ b/packages/gooseberrymux/src/gooseberrymux/reply_parser.py
@@ -57,12 +57,15 @@
         headers: All headers in the order received, names in lower case.
         body: The body, without transfer coding.
         closes_connection: Whether the connection can't carry another reply.
+        ends_with_connection: Whether the end of the connection marks the end of the
+            body. If the connection was reset, the body may be cut off.
     """
 
     status: int
     headers: Headers
     body: bytes
     closes_connection: bool
+    ends_with_connection: bool
 
 
 class ReplyParser:
@@ -249,6 +252,7 @@
             headers=headers,
             body=self._body[0] if len(self._body) == 1 else b"".join(self._body),
             closes_connection=self._is_delimited_by_end or self._announces_close(),
+            ends_with_connection=self._is_delimited_by_end,
         )
 
     def _announces_close(self) -> bool:
--- a/packages/gooseberrymux/src/gooseberrymux/request_writer.py
+++ b/packages/gooseberrymux/src/gooseberrymux/request_writer.py
@@ -30,6 +30,7 @@
         "_request_id",
         "_lock",
         "_has_ended",
+        "_was_reset",
         "_thread",
     )
 
@@ -45,6 +46,7 @@
         # once `end` has returned.
         self._lock = threading.Lock()
         self._has_ended = False
+        self._was_reset = False
         self._thread: threading.Thread | None = None
 
     @property
@@ -62,6 +64,15 @@
         """Whether the whole request is written."""
         return not self._remainder
 
+    @property
+    def was_reset(self) -> bool:
+        """Whether the connection was reset under the write; final after `end`.
+
+        The system reports a reset once. If the write was told, the connection looks
+        orderly closed to the reader of the reply.
+        """
+        return self._was_reset
+
     def start(self) -> None:
         """Writes what the connection takes at once; a thread writes the rest.
 
@@ -118,7 +129,8 @@
                 self._write_available()
         except OSError as error:
             # The reader of the reply also sees that the connection ended, and reports
-            # it.
+            # it. A broken pipe is what an orderly end of either side leads to.
+            self._was_reset = not isinstance(error, BrokenPipeError)
             journal.record_event(
                 "connections.write_failed",
                 upstream=self._upstream,
--- a/tests/http_scripted.py
+++ b/tests/http_scripted.py
@@ -66,6 +66,7 @@
         self._reads_bodies = threading.Event()
         self._reads_bodies.set()
         self._is_reset = False
+        self._unread = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.port = self._listener.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -79,6 +80,11 @@
         """Leaves the bodies of further requests unread."""
         self._reads_bodies.clear()
 
+    def send_unread(self, data):
+        """Sends bytes on the connections with an unread body."""
+        for sock in self._unread:
+            sock.sendall(data)
+
     def reset_connections(self):
         """Resets the connections with an unread body."""
         self._is_reset = True
@@ -104,7 +110,9 @@
                 while field := stream.readline().decode().strip():
                     name, _, value = field.partition(":")
                     headers[name.lower()] = value.strip()
+                self._unread.append(sock)
                 self._reads_bodies.wait(10)
+                self._unread.remove(sock)
                 if self._is_reset:
                     reset(sock, stream)
                 body = stream.read(int(headers.get("content-length", 0)))
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -593,6 +593,24 @@
     assert upstream.connections == 1
 
 
+@pytest.mark.parametrize("attempt", range(20))
+def test_an_early_reply_without_length_that_is_reset_is_not_whole(
+    start_upstream, attempt
+):
+    # Guards against a truncated reply that is passed on as complete: the system reports
+    # a reset once, and the write of the body may be what gets to see it.
+    upstream, driver = start_upstream()
+    run_exchange(driver)
+    upstream.stop_reading()
+    driver.start_exchange(LONG_ORDER, budget_ms=9e3)
+    wait_until(count_writers, message="the body is not being written")
+    upstream.send_unread(
+        b"HTTP/1.1 200 OK\r\nX-Reply-Proof: p.2\r\nX-Request-Id: r-2\r\n\r\nhalf"
+    )
+    upstream.reset_connections()
+    assert isinstance(driver.results.get(timeout=5), Broken)
+
+
 def test_long_bodies_that_are_read_keep_their_connection(start_upstream):
     # Guards against a connection for each long body: its write is known to be complete
     # only after the answer has come.
