Start no exchange on a connection that is being closed

A request could reach an upstream twice, also one that must not run twice (TWICE): the first copy on a kept connection that ends, the second on the next one.

Cause: the thread of a connection saw unasked bytes or the end of an idle connection, noted under the lock that no exchange was under way, and closed the socket after it had released the lock. An exchange that started in between wrote to that socket; its thread then found a closed socket and a pending exchange, and sent it again.

Change: the socket is taken from the connection under the same lock. Bytes that arrive while an exchange has not been written are dropped as unasked in every case.

Measured: test_a_request_that_starts_while_its_connection_ends_is_sent_once failed before (GET, POST, POST at the upstream); passes, with 114 tests of connections and pools, three times.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -328,12 +328,18 @@
             first = self._buffer[:0]
         with self._condition:
             exchange = self._current
-        if exchange is None or not self._has_written():
-            if first:
-                # Bytes that arrive before a request is sent are not its reply.
-                metrics.dropped_total.inc({"reason": "unasked_reply"})
+            if exchange is None:
+                # An exchange that starts from now on must not write to this socket.
+                self._socket = None
+        if first and not self._has_written():
+            # Bytes that arrive before a request is sent are not its reply.
+            metrics.dropped_total.inc({"reason": "unasked_reply"})
+        if exchange is None:
+            sock.close()
+            return False
+        if not self._has_written():
             self._close_socket()
-            if exchange is not None and self._has_written():
+            if self._has_written():
                 # The write began while the connection was being closed.
                 self._finish_exchange(exchange, Broken(reason=REASON_BROKEN))
             return False
--- a/tests/http_scripted.py
+++ b/tests/http_scripted.py
@@ -85,6 +85,10 @@
         for sock in self._unread:
             sock.sendall(data)
 
+    def send_unasked(self, data):
+        """Sends bytes on the connection of the last request."""
+        self.requests[-1].sock.sendall(data)
+
     def reset_connections(self):
         """Resets the connections with an unread body."""
         self._is_reset = True
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from gooseberrymux import connections
 from gooseberrymux.clock import Clock
 from gooseberrymux.connections import Connection, Exchange
 from gooseberrymux.forward_exchange import (
@@ -611,6 +612,25 @@
     assert isinstance(driver.results.get(timeout=5), Broken)
 
 
+def test_a_request_that_starts_while_its_connection_ends_is_sent_once(
+    start_upstream, monkeypatch
+):
+    # Guards against a request that is written to a connection which is about to be
+    # closed as unusable, and once more to the next.
+    upstream, driver = start_upstream()
+    run_exchange(driver)
+    dropped = connections.metrics.dropped_total
+
+    def start_next(labels):
+        monkeypatch.undo()
+        driver.start_exchange(ORDER)
+
+    monkeypatch.setattr(dropped, "inc", start_next)
+    upstream.send_unasked(b"HTTP/1.1 200 OK\r\n\r\n")
+    assert isinstance(driver.results.get(timeout=5), Replied)
+    assert [request.method for request in upstream.requests] == ["GET", "POST"]
+
+
 def test_long_bodies_that_are_read_keep_their_connection(start_upstream):
     # Guards against a connection for each long body: its write is known to be complete
     # only after the answer has come.
