Close a caller's connection only once the caller has ended its direction

A caller that had sent more than the request being answered could lose the end of the last answer on a connection, and one that sent a long body in small pieces could lose the refusal.

Cause: the system resets a connection that is closed while data is unread, and drops what it has not sent yet. After an answer that ends the connection nothing was read; after a refusal 16 reads were made, which 16 small segments use up.

Change: after the last answer this server ends its own direction and reads on until the caller has ended its own, for at most 1 s and 1 MiB.

--- a/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
+++ b/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
@@ -10,7 +10,7 @@
 from gooseberrymux import journal, metrics
 from gooseberrymux.caller_budget import Holder
 from gooseberrymux.caller_memory import CallerConnections
-from gooseberrymux.clock import Clock
+from gooseberrymux.clock import MS_PER_S, Clock
 from gooseberrymux.kernel import Kernel
 
 # How long the loop waits for a descriptor. The listener stays readable meanwhile, so
@@ -20,10 +20,11 @@
 SHORTAGE_LOG_PERIOD_MS = 1_000.0
 # The caller has left before its connection was accepted. All other errors may persist.
 TRANSIENT_ERRORS = frozenset({errno.ECONNABORTED, errno.EPROTO, errno.EINTR})
-# After a refusal, at most this many reads take what the caller has already sent.
-DISCARD_READS = 16
-DISCARD_BYTES = 65_536
-DISCARD_TIMEOUT_S = 0.1
+# After the last answer on a connection, this much of what the caller still sends is
+# read for this long at most.
+DISCARD_LIMIT_BYTES = 1024 * 1024
+DISCARD_TIMEOUT_MS = 1_000.0
+DISCARD_STEP_BYTES = 64 * 1024
 # Sent without blocking, so that a refused caller can't hold up the loop.
 REFUSAL = (
     b"HTTP/1.1 503 Service Unavailable\r\ncontent-type: text/plain\r\n"
@@ -128,16 +129,25 @@
     holder: Holder
 
     def discard_unread(self) -> None:
-        """Reads a bounded part of the rest, so that the caller gets the refusal.
+        """Reads a bounded part of the rest, so that the caller gets the last answer.
 
-        The system resets a connection that is closed while data is unread.
+        The system resets a connection that is closed while data is unread, and drops
+        what it has not sent yet.
         """
-        self.socket.settimeout(DISCARD_TIMEOUT_S)
+        clock = self.server.clock
+        deadline_ms = clock.now_ms() + DISCARD_TIMEOUT_MS
+        remaining_bytes = DISCARD_LIMIT_BYTES
         with contextlib.suppress(OSError):
             self.socket.shutdown(socket.SHUT_WR)
-            for _ in range(DISCARD_READS):
-                if not self.socket.recv(DISCARD_BYTES):
+            while remaining_bytes > 0:
+                remaining_ms = deadline_ms - clock.now_ms()
+                if remaining_ms <= 0:
+                    return
+                self.socket.settimeout(remaining_ms / MS_PER_S)
+                received = self.socket.recv(min(remaining_bytes, DISCARD_STEP_BYTES))
+                if not received:
                     return
+                remaining_bytes -= len(received)
 
     def close(self) -> None:
         """Closes the connection and ends its account."""
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -199,7 +199,6 @@
             status=error.status, text=error.message, headers=headers
         )
         self.conn.wfile.write(encode_reply(reply, close=True, method="GET"))
-        self.conn.discard_unread()
 
     def simple_response(self, status: str, msg: str = "") -> None:
         """Replies to a request that cheroot refuses, in place of its own reply."""
@@ -239,6 +238,7 @@
                 connection_set.end_request(self)
                 self.body_reader.release()
             if not keeps_open:
+                self.discard_unread()
                 return
 
     def serve_request(self) -> bool:
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -13,7 +13,7 @@
 from gooseberrymux.routes import CallerLimits
 from gooseberrymux.settings import Address
 from gooseberrymux.web import stop_server
-from harness import create_settings
+from harness import create_settings, wait_until
 from http_scripted import HttpCaller
 
 LIMITS = CallerLimits(
@@ -281,3 +281,60 @@
         assert not caller.stream.read()
         assert len(handler.received) == 1
         caller.close()
+
+
+class SlowCaller(HttpCaller):
+    """A caller with a small window that takes what it reads in small steps."""
+
+    STEP_BYTES = 16_384
+
+    def __init__(self, address):
+        super().__init__(address)
+        self.pause = threading.Event()
+
+    def read_all(self, pause_s):
+        """Reads until the end of the connection, with a pause before each step."""
+        received = b""
+        while True:
+            self.pause.wait(pause_s)
+            step = self.sock.recv(self.STEP_BYTES)
+            if not step:
+                return received
+            received += step
+
+
+LARGE_BODY = b"a" * 4_000_000
+
+
+def test_a_last_answer_arrives_whole_although_the_caller_has_sent_more(
+    caller_and_handler,
+):
+    # Guards against an answer that is cut off: the system drops what it has not sent
+    # yet if a connection is closed while data is unread.
+    caller, handler = caller_and_handler
+    slow = SlowCaller(caller.sock.getpeername())
+    reply = HttpReply(status=200, headers=(), body=LARGE_BODY)
+    handler.caller_reply = CallerReply(reply=reply, close=True)
+    request = POST + b"Content-Length: 0\r\n\r\n"
+    slow.send(request)
+    wait_until(lambda: handler.received, message="no request")
+    slow.send(request)
+    received = slow.read_all(0.0005)
+    assert len(received.partition(b"\r\n\r\n")[2]) == len(LARGE_BODY)
+    assert len(handler.received) == 1
+    slow.close()
+
+
+def test_a_refusal_reaches_a_caller_that_sends_its_body_in_small_pieces(
+    caller_and_handler,
+):
+    # Guards against a connection that is reset while the caller still sends, by which
+    # the caller loses the refusal.
+    caller, handler = caller_and_handler
+    caller.send(POST + b"Content-Length: 200000\r\n\r\n")
+    pause = threading.Event()
+    for _ in range(200):
+        caller.send(b"a" * 1_000)
+        pause.wait(0.001)
+    assert caller.read()[0] == 413
+    assert handler.received == []
