Cut off no answer that its caller is still reading

Cause: sendall applies the timeout of the socket to the whole answer.

Change: the answer is sent in steps. A step ends with the timeout only if the caller has taken no byte meanwhile; callers that are too slow altogether are still closed by their rate.

--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -29,7 +29,11 @@
     parse_body_length,
     read_headers,
 )
-from gooseberrymux.caller_memory import REASON_AHEAD, CallerMemory
+from gooseberrymux.caller_memory import (
+    REASON_AHEAD,
+    CallerMemory,
+    read_moved_bytes,
+)
 from gooseberrymux.clock import MS_PER_S
 from gooseberrymux.drops import DropRecorder
 from gooseberrymux.http_types import (
@@ -302,10 +306,30 @@
         self._socket = sock
 
     def write(self, data) -> int:
-        """Blocks until all data is sent; returns its length in bytes."""
-        self._socket.sendall(data)
+        """Blocks until all data is sent; returns its length in bytes.
+
+        Raises:
+            TimeoutError: The caller has read nothing for as long as the timeout of the
+                socket.
+        """
+        # `sendall` would apply the timeout to all steps together.
+        remainder = memoryview(data)
+        while remainder:
+            remainder = remainder[self._send_step(remainder) :]
         return len(data)
 
+    def _send_step(self, data: memoryview) -> int:
+        """Sends what the system takes; waits for as long as the caller reads."""
+        while True:
+            moved_before = read_moved_bytes(self._socket)
+            try:
+                return self._socket.send(data)
+            except TimeoutError:
+                # The system takes more only once it has room for a large part of its
+                # buffer, which a slow caller may not make within the timeout.
+                if read_moved_bytes(self._socket) == moved_before:
+                    raise
+
 
 class CallerServer(AcceptLoop, cheroot.server.HTTPServer):
     """HTTP server that callers connect to.
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -325,6 +325,19 @@
     slow.close()
 
 
+def test_an_answer_that_is_read_slowly_arrives_whole(caller_and_handler):
+    # Guards against an answer that is cut off at the header timeout although the caller
+    # has kept reading.
+    caller, handler = caller_and_handler
+    slow = SlowCaller(caller.sock.getpeername())
+    reply = HttpReply(status=200, headers=(), body=LARGE_BODY * 4)
+    handler.caller_reply = CallerReply(reply=reply, close=True)
+    slow.send(POST + b"Content-Length: 0\r\n\r\n")
+    received = slow.read_all(0.001)
+    assert len(received.partition(b"\r\n\r\n")[2]) == 4 * len(LARGE_BODY)
+    slow.close()
+
+
 def test_a_refusal_reaches_a_caller_that_sends_its_body_in_small_pieces(
     caller_and_handler,
 ):
