Read a refusal of a sub-request that comes before the request is written

In the product's own protocol a refusal that an upstream sent before it had read a long sub-request was read only after the whole was written. If the upstream did not read on, the outcome was unknown at the deadline, where not run was known at once.

Change: while a request is being written, a final reply ends the write and is read, and the connection is closed. An interim reply does not end it.

--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -4,6 +4,7 @@
 itself said that it did not run it; any other failure is reported as unknown.
 """
 
+import select
 import socket
 from collections.abc import Callable
 
@@ -53,6 +54,9 @@
 # connection.
 ORDER_IDLE_LIMIT_MS = 2_000
 
+# An upstream that sends an interim reply still waits for the rest of the request.
+INTERIM_REPLY_START = b"HTTP/1.1 1"
+
 # Header names of the product's own protocol; the gateway's are settings.
 HEADER_NAMES = HeaderNames()
 NODELAY_OPTIONS = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
@@ -93,6 +97,7 @@
         "_socket",
         "_host_header",
         "_bytes_written",
+        "_is_request_written",
         "_last_used_ms",
     )
 
@@ -113,6 +118,7 @@
         self._socket: socket.socket | None = None
         self._host_header = f"Host: {record.host}:{record.port}\r\n"
         self._bytes_written = 0
+        self._is_request_written = False
         self._last_used_ms = 0.0
 
     def close(self) -> None:
@@ -270,10 +276,36 @@
         set_timeout(self._socket, deadline_ms - self._clock.now_ms())
         self._bytes_written = self._socket.send(request)
         while self._bytes_written < len(request):
-            set_timeout(self._socket, deadline_ms - self._clock.now_ms())
+            if self._wait_for_room_or_reply(deadline_ms):
+                break
             self._bytes_written += self._socket.send(
                 memoryview(request)[self._bytes_written :]
             )
+        self._is_request_written = self._bytes_written == len(request)
+
+    def _wait_for_room_or_reply(self, deadline_ms: float) -> bool:
+        """Returns whether a final reply has begun; False if more can be written.
+
+        Raises:
+            TimeoutError: Neither was so at the deadline.
+        """
+        assert self._socket is not None
+        events = self._poll(select.POLLIN | select.POLLOUT, deadline_ms)
+        if not events & select.POLLIN:
+            return False
+        head = self._socket.recv(len(INTERIM_REPLY_START), socket.MSG_PEEK)
+        if head != INTERIM_REPLY_START:
+            return True
+        self._poll(select.POLLOUT, deadline_ms)
+        return False
+
+    def _poll(self, events: int, deadline_ms: float) -> int:
+        poller = select.poll()
+        poller.register(self._socket, events)
+        found = poller.poll(max(0.0, deadline_ms - self._clock.now_ms()))
+        if not found:
+            raise TimeoutError("deadline passed before the request was written")
+        return found[0][1]
 
     def _read_response(self, deadline_ms: float) -> tuple[int, dict]:
         parser = ReplyParser(method="POST", memory=self._reply_memory)
@@ -281,7 +313,10 @@
             reply = self._receive_reply(parser, deadline_ms)
         finally:
             parser.close()
-        if reply.closes_connection or parser.has_excess:
+        if not self._is_request_written:
+            # The upstream would read the next request as the rest of this one.
+            metrics.early_replies_total.inc({})
+        if not self._is_request_written or reply.closes_connection or parser.has_excess:
             self.close()
         self._last_used_ms = self._clock.now_ms()
         self.signals = parse_signals(
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -254,6 +254,46 @@
     assert isinstance(outcome, SubrequestUnknown)
 
 
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 102 Processing\r\n\r\n"])
+def test_a_refusal_that_comes_before_the_request_is_written_is_read(interim):
+    # Guards against a refusal that is read only once the whole request is written, by
+    # when the deadline has passed and the outcome is unknown; and against a further
+    # request that the upstream reads as the rest of this one.
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    accepted = []
+
+    def refuse_early():
+        sock, _ = listener.accept()
+        accepted.append(sock)
+        sock.recv(1000)
+        if interim:
+            sock.sendall(interim)
+            while sock.recv(1_000_000)[-1:] != b"}":
+                pass
+        body = b'{"request_id": "s-1", "not_run": true, "error": "shed"}'
+        head = b"HTTP/1.1 503 X\r\nContent-Length: %d\r\n\r\n" % len(body)
+        sock.sendall(head + body)
+
+    threading.Thread(target=refuse_early, daemon=True).start()
+    record = UpstreamRecord(
+        name="u",
+        host="127.0.0.1",
+        port=listener.getsockname()[1],
+        service="s",
+        failure_domain="a",
+    )
+    connection = SubrequestConnection(record=record, clock=CLOCK, reply_memory=MEMORY)
+    query = dataclasses.replace(QUERY, body={"filler": "x" * 30_000_000})
+    outcome = connection.run(query, CLOCK.now_ms() + 2_000)
+    assert isinstance(outcome, SubrequestNotRun), outcome
+    # A connection on which the request was written whole is kept.
+    assert (connection._socket is None) == (not interim)
+    connection.close()
+    listener.close()
+    accepted[0].close()
+
+
 def test_kept_connection_closed_while_idle_is_replaced(start_upstream):
     # Guards against an unknown outcome of an order that was sent on a connection that
     # the upstream had closed while idle.
