End the exchange and keep the thread whatever a reply brings

Cause: only the reading of a reply was guarded against unexpected errors, not what is made of it; and the number was converted whatever its length.

Change: both are guarded, and of the number nine digits are read.

Measured: test_an_idle_timeout_of_too_many_digits_harms_no_exchange and test_an_unexpected_error_after_a_reply_ends_its_exchange_only failed before (no result); 307 tests of connections, faulty replies and pools pass, three times.

--- a/packages/gooseberrymux/src/gooseberrymux/connections.py
+++ b/packages/gooseberrymux/src/gooseberrymux/connections.py
@@ -352,9 +352,10 @@
     def _receive_reply(
         self, sock: socket.socket, first: memoryview, exchange: Exchange
     ) -> tuple[Result, bool]:
-        parser = ReplyParser(method=exchange.call.method, memory=self._reply_memory)
+        """Returns the result of an exchange, and whether the socket can be reused."""
         try:
-            reply = read_reply(sock, first, parser, self._buffer)
+            reply, has_excess = self._parse_reply(sock, first, exchange)
+            return self._evaluate_reply(exchange, reply, has_excess=has_excess)
         except (OSError, ReplyError) as error:
             reason = REASON_ABORTED if exchange.aborted else classify_error(error)
             return Broken(reason=reason), False
@@ -364,8 +365,22 @@
             journal.record_fault(step="connections.read", peer=peer, error=error)
             metrics.faults_total.inc({"step": "connections.read"})
             return Broken(reason=REASON_INTERNAL), False
+
+    def _parse_reply(
+        self, sock: socket.socket, first: memoryview, exchange: Exchange
+    ) -> tuple[ParsedReply, bool]:
+        """Reads a reply; returns it and whether there were bytes after it."""
+        parser = ReplyParser(method=exchange.call.method, memory=self._reply_memory)
+        try:
+            reply = read_reply(sock, first, parser, self._buffer)
         finally:
             parser.close()
+        return reply, parser.has_excess
+
+    def _evaluate_reply(
+        self, exchange: Exchange, reply: ParsedReply, *, has_excess: bool
+    ) -> tuple[Result, bool]:
+        """Returns what a complete reply means for its exchange and for the socket."""
         if exchange.aborted or self._closed:
             # A reply that is delimited by the end of the connection looks complete
             # when this side closes the socket.
@@ -386,13 +401,13 @@
         if self._is_repeated(reply, result):
             result = Broken(reason=REASON_FOREIGN)
         self._record_failure(exchange, result)
-        if parser.has_excess:
+        if has_excess:
             # Bytes after a complete reply belong to no request.
             metrics.dropped_total.inc({"reason": "bytes_after_reply"})
         must_close = (
             not is_written
             or reply.closes_connection
-            or parser.has_excess
+            or has_excess
             or isinstance(result, Broken)
             or not self._is_copy_recognizable(reply, result)
         )
--- a/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/forward_exchange.py
@@ -29,7 +29,8 @@
 # Subtracted from the idle timeout in an upstream's Keep-Alive header, so that a request
 # arrives before the upstream closes the connection.
 KEEP_ALIVE_MARGIN_MS = 400.0
-KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d+)")
+# Python refuses to convert a number of thousands of digits.
+KEEP_ALIVE_TIMEOUT_PATTERN = re.compile(r"timeout=(\d{1,9})")
 BODILESS_METHODS = frozenset({"GET", "HEAD"})
 
 _frozen = dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -409,6 +409,29 @@
     assert upstream.connections == 2
 
 
+def test_an_idle_timeout_of_too_many_digits_harms_no_exchange(start_upstream):
+    # Guards against a header that ends the thread of a connection: its exchange would
+    # never end, and the slot at its upstream would never be free again.
+    _, driver = start_upstream(
+        lambda r: r.reply(200, b"x", keep_alive=f"timeout={'9' * 5_000}")
+    )
+    assert all(isinstance(run_exchange(driver), Replied) for _ in range(2))
+
+
+def test_an_unexpected_error_after_a_reply_ends_its_exchange_only(
+    start_upstream, monkeypatch
+):
+    # Guards against an error in one exchange that ends the thread of a connection.
+    def fail(*arguments, **fields):
+        monkeypatch.undo()
+        raise ValueError("unexpected")
+
+    _, driver = start_upstream()
+    monkeypatch.setattr(connections, "classify_reply", fail)
+    assert run_exchange(driver) == Broken(reason="internal_error")
+    assert isinstance(run_exchange(driver), Replied)
+
+
 def test_an_abort_ends_the_exchange_and_the_upstream_sees_it(start_upstream):
     arrived = threading.Event()
     upstream, driver = start_upstream(lambda request: arrived.set())
