Let a caller of the API read a refusal while it still sends

A caller of the product's own API that was refused before its body was read could find the connection reset while it sent, and lose the answer. The listeners for callers and for health checks were fixed before; this one runs on cheroot's own loop.

Change: a connection is ended here as there, by end_connection.

--- a/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
+++ b/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
@@ -128,27 +128,6 @@
 
     holder: Holder
 
-    def discard_unread(self) -> None:
-        """Reads a bounded part of the rest, so that the caller gets the last answer.
-
-        The system resets a connection that is closed while data is unread, and drops
-        what it has not sent yet.
-        """
-        clock = self.server.clock
-        deadline_ms = clock.now_ms() + DISCARD_TIMEOUT_MS
-        remaining_bytes = DISCARD_LIMIT_BYTES
-        with contextlib.suppress(OSError):
-            self.socket.shutdown(socket.SHUT_WR)
-            while remaining_bytes > 0:
-                remaining_ms = deadline_ms - clock.now_ms()
-                if remaining_ms <= 0:
-                    return
-                self.socket.settimeout(remaining_ms / MS_PER_S)
-                received = self.socket.recv(min(remaining_bytes, DISCARD_STEP_BYTES))
-                if not received:
-                    return
-                remaining_bytes -= len(received)
-
     def close(self) -> None:
         """Closes the connection and ends its account."""
         try:
@@ -223,6 +202,28 @@
             conn.socket.shutdown(socket.SHUT_RDWR)
 
 
+def end_connection(sock: socket.socket, *, clock: Clock) -> None:
+    """Ends this side of a connection, and waits until the caller has ended its own.
+
+    Reads a bounded part of what the caller still sends. The system resets a connection
+    that is closed while data is unread, and drops what it has not sent yet, by which
+    the caller would lose the last answer.
+    """
+    deadline_ms = clock.now_ms() + DISCARD_TIMEOUT_MS
+    remaining_bytes = DISCARD_LIMIT_BYTES
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_WR)
+        while remaining_bytes > 0:
+            remaining_ms = deadline_ms - clock.now_ms()
+            if remaining_ms <= 0:
+                return
+            sock.settimeout(remaining_ms / MS_PER_S)
+            received = sock.recv(min(remaining_bytes, DISCARD_STEP_BYTES))
+            if not received:
+                return
+            remaining_bytes -= len(received)
+
+
 def refuse(sock: socket.socket) -> None:
     """Answers a connection for which there is no room, without reading from it."""
     with contextlib.suppress(OSError):
--- a/packages/gooseberrymux/src/gooseberrymux/api.py
+++ b/packages/gooseberrymux/src/gooseberrymux/api.py
@@ -92,6 +92,7 @@
             address=settings.instance.callers,
             threads=settings.api.threads,
             handle=self.handle,
+            clock=self._kernel.clock,
         )
         self._server.prepare()
         self._kernel.spawn(name="api.server", target=self._server.serve)
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -14,7 +14,12 @@
 from cheroot import errors
 
 from gooseberrymux import journal, metrics
-from gooseberrymux.accept_loop import AcceptLoop, ConnectionSet, LimitedConnection
+from gooseberrymux.accept_loop import (
+    AcceptLoop,
+    ConnectionSet,
+    LimitedConnection,
+    end_connection,
+)
 from gooseberrymux.caller_body import BodyReader, RequestError, create_no_room_error
 from gooseberrymux.caller_budget import (
     COVERED_BODY_BYTES,
@@ -242,7 +247,7 @@
                 connection_set.end_request(self)
                 self.body_reader.release()
             if not keeps_open:
-                self.discard_unread()
+                end_connection(self.socket, clock=self.server.clock)
                 return
 
     def serve_request(self) -> bool:
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -13,10 +13,15 @@
 from result import Err, Ok, Result
 
 from gooseberrymux import journal, metrics
-from gooseberrymux.accept_loop import AcceptLoop, ConnectionSet, LimitedConnection
+from gooseberrymux.accept_loop import (
+    AcceptLoop,
+    ConnectionSet,
+    LimitedConnection,
+    end_connection,
+)
 from gooseberrymux.caller_budget import IDLE, READING
 from gooseberrymux.caller_memory import CallerConnections
-from gooseberrymux.clock import MS_PER_S
+from gooseberrymux.clock import MS_PER_S, Clock
 from gooseberrymux.kernel import Kernel
 from gooseberrymux.settings import Address
 
@@ -75,7 +80,11 @@
 
 
 def create_server(
-    *, address: Address, threads: int, handle: Callable[[Request], Response]
+    *,
+    address: Address,
+    threads: int,
+    handle: Callable[[Request], Response],
+    clock: Clock,
 ) -> cheroot.wsgi.Server:
     """Returns an HTTP server, not yet listening, that calls `handle` for each request.
 
@@ -90,6 +99,7 @@
     )
     server.max_request_header_size = HEADER_LIMIT_BYTES
     server.ConnectionClass = HeaderLimitedConnection
+    server.clock = clock
     return server
 
 
@@ -170,6 +180,13 @@
 
     RequestHandlerClass = HeaderLimitedRequest
 
+    def communicate(self) -> bool:
+        """Serves one request; returns whether the connection stays open."""
+        keeps_open = super().communicate()
+        if not keeps_open:
+            end_connection(self.socket, clock=self.server.clock)
+        return keeps_open
+
 
 class LimitedWebConnection(LimitedConnection):
     """A connection that is served by its own thread, within limits."""
@@ -194,7 +211,7 @@
             finally:
                 connection_set.end_request(self)
             if not keeps_open:
-                self.discard_unread()
+                end_connection(self.socket, clock=self.server.clock)
                 return
 
     def _wait_for_request(self) -> bool:
--- a/tests/ctl/test_ctl_client.py
+++ b/tests/ctl/test_ctl_client.py
@@ -41,7 +41,7 @@
         self.responses = list(responses)
         self.bodies = []
         self._server = web.create_server(
-            address=Address(), threads=2, handle=self.handle
+            address=Address(), threads=2, handle=self.handle, clock=Clock()
         )
         self._server.prepare()
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
--- a/tests/test_leaving_upstreams.py
+++ b/tests/test_leaving_upstreams.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gooseberrymux import web
+from gooseberrymux.clock import Clock
 from gooseberrymux.configuration import Group
 from gooseberrymux.configuration_model import (
     EMPTY_CONFIGURATION,
@@ -44,7 +45,10 @@
         self.may_reply = threading.Event()
         self.may_reply.set()
         self._server = web.create_server(
-            address=Address(port=self.port), threads=4, handle=self._handle
+            address=Address(port=self.port),
+            threads=4,
+            handle=self._handle,
+            clock=Clock(),
         )
 
     def __enter__(self):
--- a/tests/test_web.py
+++ b/tests/test_web.py
@@ -20,7 +20,10 @@
 @contextlib.contextmanager
 def serve(handle):
     server = web.create_server(
-        address=Address(host="127.0.0.1", port=0), threads=2, handle=handle
+        address=Address(host="127.0.0.1", port=0),
+        threads=2,
+        handle=handle,
+        clock=Clock(),
     )
     server.prepare()
     thread = threading.Thread(target=server.serve)
@@ -117,3 +120,20 @@
     finally:
         web.stop_server(server)
     assert b" 413 " in reply and b"too_large" in reply
+
+
+def test_a_refusal_by_the_api_reaches_a_caller_that_still_sends():
+    # Guards against a connection that is reset while the caller sends the body of a
+    # refused request, by which the caller loses the refusal.
+    def handle(request):
+        return web.read_json(request, limit_bytes=100).unwrap_err()
+
+    pause = threading.Event()
+    with serve(handle) as address:
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 200000\r\n\r\n"
+        with socket.create_connection(address, timeout=10) as sock:
+            sock.sendall(head)
+            for _ in range(200):
+                sock.sendall(b"a" * 1_000)
+                pause.wait(0.001)
+            assert b" 413 " in sock.makefile("rb").read()
