Let a written request go before its reply

The writer kept a view of the whole request until its exchange had ended, so a long body stayed in memory twice while its reply was awaited.

--- a/packages/gooseberrymux/src/gooseberrymux/request_writer.py
+++ b/packages/gooseberrymux/src/gooseberrymux/request_writer.py
@@ -7,6 +7,8 @@
 
 from gooseberrymux import journal, metrics
 
+NOTHING = memoryview(b"")
+
 
 class RequestWriter:
     """Writes one request to a connection, in a thread of its own where it must wait.
@@ -120,7 +122,8 @@
         with self._lock, contextlib.suppress(BlockingIOError):
             if not self._has_ended:
                 sent = self._sock.send(self._remainder, socket.MSG_DONTWAIT)
-                self._remainder = self._remainder[sent:]
+                # An empty part of the request would keep all of it in memory.
+                self._remainder = self._remainder[sent:] or NOTHING
 
     def _write_remainder(self, poller: select.poll) -> None:
         try:
