--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -10,9 +10,10 @@
 
 import pytest
 
+from connection_driver import ORDER, ConnectionDriver, count_writers
 from gooseberrymux.forward_exchange import NotSent
+from harness import wait_until
 from http_scripted import HttpUpstream, reset
-from test_connections import ORDER, ConnectionDriver, count_writers, wait_until
 
 EXCHANGES = 30
 BODY_SIZES = (0, 200, 300_000, 8_000_000)
