Serve the requests of a connection by one loop

The servers for callers and for health checks had the same loop each, and the fix that ends a connection in both directions had been added to both. The loop is LimitedConnection.serve now; a subclass says when a request begins and may wrap how one is served. The charges of a body are released just before the end of its request is recorded, not just after; nothing else changes.

--- a/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
+++ b/packages/gooseberrymux/src/gooseberrymux/accept_loop.py
@@ -120,7 +120,10 @@
 
 
 class LimitedConnection(cheroot.server.HTTPConnection):
-    """A connection whose use of the budget is recorded; a subclass has `serve`.
+    """A connection whose use of the budget is recorded; a single thread serves it.
+
+    A subclass has `wait_for_request`, which returns whether a request begins, and may
+    replace `serve_request`.
 
     Attributes:
         holder: Its account in the budget; set once the connection is accepted.
@@ -128,6 +131,22 @@
 
     holder: Holder
 
+    def serve(self) -> None:
+        """Serves requests until the caller or this server ends the connection."""
+        connection_set = self.server.connection_set
+        while self.wait_for_request() and connection_set.begin_request(self):
+            try:
+                keeps_open = self.serve_request()
+            finally:
+                connection_set.end_request(self)
+            if not keeps_open:
+                end_connection(self.socket, clock=self.server.clock)
+                return
+
+    def serve_request(self) -> bool:
+        """Serves one request; returns whether the connection stays open."""
+        return self.communicate()
+
     def close(self) -> None:
         """Closes the connection and ends its account."""
         try:
--- a/packages/gooseberrymux/src/gooseberrymux/caller_server.py
+++ b/packages/gooseberrymux/src/gooseberrymux/caller_server.py
@@ -14,12 +14,7 @@
 from cheroot import errors
 
 from gooseberrymux import journal, metrics
-from gooseberrymux.accept_loop import (
-    AcceptLoop,
-    ConnectionSet,
-    LimitedConnection,
-    end_connection,
-)
+from gooseberrymux.accept_loop import AcceptLoop, ConnectionSet, LimitedConnection
 from gooseberrymux.caller_body import BodyReader, RequestError, create_no_room_error
 from gooseberrymux.caller_budget import (
     COVERED_BODY_BYTES,
@@ -237,28 +232,18 @@
             clock=self.server.clock,
         )
 
-    def serve(self) -> None:
-        """Serves requests until the caller or this server ends the connection."""
-        connection_set = self.server.connection_set
-        while self.wait_for_request() and connection_set.begin_request(self):
-            try:
-                keeps_open = self.serve_request()
-            finally:
-                connection_set.end_request(self)
-                self.body_reader.release()
-            if not keeps_open:
-                end_connection(self.socket, clock=self.server.clock)
-                return
-
     def serve_request(self) -> bool:
         """Serves one request; returns whether the connection stays open.
 
         A caller that sends many requests before it reads their answers waits for the
         others that do so.
         """
-        if self.holder.sends_ahead:
-            return self._communicate_through_gate()
-        return self.communicate()
+        try:
+            if self.holder.sends_ahead:
+                return self._communicate_through_gate()
+            return self.communicate()
+        finally:
+            self.body_reader.release()
 
     def _communicate_through_gate(self) -> bool:
         gate = self.server.memory.pipelines
--- a/packages/gooseberrymux/src/gooseberrymux/web.py
+++ b/packages/gooseberrymux/src/gooseberrymux/web.py
@@ -201,20 +201,10 @@
         """Serves requests until the caller or this server ends the connection."""
         # A client may leave before its answer.
         with contextlib.suppress(ConnectionError):
-            self._serve_requests()
-
-    def _serve_requests(self) -> None:
-        connection_set = self.server.connection_set
-        while self._wait_for_request() and connection_set.begin_request(self):
-            try:
-                keeps_open = self.communicate()
-            finally:
-                connection_set.end_request(self)
-            if not keeps_open:
-                end_connection(self.socket, clock=self.server.clock)
-                return
-
-    def _wait_for_request(self) -> bool:
+            super().serve()
+
+    def wait_for_request(self) -> bool:
+        """Returns whether a request begins before the timeout of the socket."""
         self.holder.enter(IDLE)
         try:
             has_data = bool(self.rfile.peek(1))
