Wait for a socket by urllib3, as elsewhere in the module

The wait for room or a reply had a poll of its own beside urllib3's wait_for_read, which the same module calls. The three waits are urllib3's now; bounds and outcomes are the same.

--- a/packages/gooseberrymux/src/gooseberrymux/exchange.py
+++ b/packages/gooseberrymux/src/gooseberrymux/exchange.py
@@ -4,7 +4,6 @@
 itself said that it did not run it; any other failure is reported as unknown.
 """
 
-import select
 import socket
 from collections.abc import Callable
 
@@ -12,6 +11,7 @@
 import urllib3
 from result import Err, Ok, Result
 from urllib3.util.connection import create_connection
+from urllib3.util.wait import wait_for_read, wait_for_socket
 
 from gooseberrymux import metrics
 from gooseberrymux.clock import Clock
@@ -253,7 +253,7 @@
         if self._socket is not None:
             # An idle connection that is readable was closed by the upstream or holds
             # a reply that no request is waiting for.
-            if not urllib3.util.wait_for_read(self._socket, timeout=0.0):
+            if not wait_for_read(self._socket, timeout=0.0):
                 return True
             metrics.dropped_total.inc({"reason": "idle_connection_readable"})
             self.close()
@@ -290,22 +290,22 @@
             TimeoutError: Neither was so at the deadline.
         """
         assert self._socket is not None
-        events = self._poll(select.POLLIN | select.POLLOUT, deadline_ms)
-        if not events & select.POLLIN:
+        self._wait_for_socket(deadline_ms, read=True)
+        if not wait_for_read(self._socket, timeout=0.0):
             return False
         head = self._socket.recv(len(INTERIM_REPLY_START), socket.MSG_PEEK)
         if head != INTERIM_REPLY_START:
             return True
-        self._poll(select.POLLOUT, deadline_ms)
+        self._wait_for_socket(deadline_ms, read=False)
         return False
 
-    def _poll(self, events: int, deadline_ms: float) -> int:
-        poller = select.poll()
-        poller.register(self._socket, events)
-        found = poller.poll(max(0.0, deadline_ms - self._clock.now_ms()))
-        if not found:
+    def _wait_for_socket(self, deadline_ms: float, *, read: bool) -> None:
+        """Waits until more can be written or, with `read`, bytes have come."""
+        remaining_ms = max(0.0, deadline_ms - self._clock.now_ms())
+        if not wait_for_socket(
+            self._socket, read=read, write=True, timeout=remaining_ms / 1000
+        ):
             raise TimeoutError("deadline passed before the request was written")
-        return found[0][1]
 
     def _read_response(self, deadline_ms: float) -> tuple[int, dict]:
         parser = ReplyParser(method="POST", memory=self._reply_memory)
