Tests: one server that answers early, and one that accepts

Three test modules had a server that answers before a body is read, and the drawn test accepted connections by a copy of HttpUpstream's loop. EarlyAnsweringServer stands beside HttpUpstream, and the drawn upstream is one. Two copies of a record became one function. Assertions, bounds and seeds are as they were; a comment names both forms of the failure that its test guards against.

--- a/tests/http_scripted.py
+++ b/tests/http_scripted.py
@@ -128,6 +128,55 @@
         self.connections_ended.release()
 
 
+class EarlyAnsweringServer:
+    """Answers requests before it has read their body, and reads on after the last.
+
+    Attributes:
+        body: What came where the body of the last request is due.
+        reads_on: Set once the rest may be read.
+    """
+
+    def __init__(self, create_answer, *, requests=1):
+        """Takes a function that returns the bytes of the answer to a head."""
+        self.body = b""
+        self.reads_on = threading.Event()
+        self._create_answer = create_answer
+        self._requests = requests
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        # A small window, so that the rest of the body can't be written before.
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
+        self.port = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+        self._thread.start()
+
+    def create_record(self):
+        return HttpUpstream.create_record(self)
+
+    def close(self):
+        """Reads on until nothing comes any more."""
+        self.reads_on.set()
+        self._thread.join(10)
+        self._listener.close()
+
+    def _serve(self):
+        sock, _ = self._listener.accept()
+        for _ in range(self._requests):
+            self._answer(sock)
+        self.reads_on.wait(5)
+        sock.settimeout(1.0)
+        with contextlib.suppress(OSError):
+            while data := sock.recv(65_536):
+                self.body += data
+        sock.close()
+
+    def _answer(self, sock):
+        data = b""
+        while b"\r\n\r\n" not in data:
+            data += sock.recv(4_096)
+        head, self.body = data.split(b"\r\n\r\n", 1)
+        sock.sendall(self._create_answer(head))
+
+
 def reset(sock, stream):
     """Closes a connection with a TCP reset instead of a FIN."""
     linger = (1).to_bytes(4, "little") + (0).to_bytes(4, "little")
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -4,7 +4,6 @@
 import dataclasses
 import queue
 import re
-import socket
 import threading
 
 import pytest
@@ -23,9 +22,8 @@
     NotSent,
     Replied,
 )
-from gooseberrymux.records import UpstreamRecord
 from harness import wait_until
-from http_scripted import PROOF, HttpUpstream
+from http_scripted import PROOF, EarlyAnsweringServer, HttpUpstream
 
 
 @pytest.fixture
@@ -440,73 +438,24 @@
     upstream.close()
 
 
-class EarlyAnsweringUpstream:
-    """Rejects requests before it has read their body, and reads on after the last.
-
-    Args:
-        requests: How many requests it rejects.
-
-    Attributes:
-        body: What came where the body of the last request is due.
-    """
-
-    def __init__(self, requests):
-        self.body = b""
-        self._requests = requests
-        self.reads_on = threading.Event()
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        # A small window, so that the rest of the body can't be written before.
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def create_record(self):
-        return UpstreamRecord(
-            name="u",
-            service="s",
-            failure_domain="a",
-            host="127.0.0.1",
-            port=self._listener.getsockname()[1],
-            slots=2,
-        )
-
-    def _serve(self):
-        sock, _ = self._listener.accept()
-        for _ in range(self._requests):
-            self._reject(sock)
-        self.reads_on.wait(5)
-        sock.settimeout(1.0)
-        with contextlib.suppress(OSError):
-            while data := sock.recv(65_536):
-                self.body += data
-        sock.close()
-
-    def _reject(self, sock):
-        data = b""
-        while b"\r\n\r\n" not in data:
-            data += sock.recv(4_096)
-        head, self.body = data.split(b"\r\n\r\n", 1)
-        request_id = re.search(rb"(?i)x-request-id: (\S+)", head)[1]
-        sock.sendall(
-            b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n"
-            b"X-Request-Id: %b\r\n\r\n" % request_id
-        )
-
-    def close(self):
-        self._thread.join(10)
-        self._listener.close()
+def create_rejection(head):
+    """Returns the answer of an upstream that has not run the request."""
+    request_id = re.search(rb"(?i)x-request-id: (\S+)", head)[1]
+    return (
+        b"HTTP/1.1 503 X\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n"
+        b"X-Request-Id: %b\r\n\r\n" % request_id
+    )
 
 
 # Guards against a request that an upstream reads as the rest of the body before: it has
 # answered that request early, while its body was still being written.
 def test_no_request_follows_on_a_socket_while_a_body_is_being_written():
-    upstream = EarlyAnsweringUpstream(requests=2)
+    upstream = EarlyAnsweringServer(create_rejection, requests=2)
     driver = ConnectionDriver(upstream.create_record())
     assert isinstance(run_exchange(driver), Declined)
     assert isinstance(run_exchange(driver, LONG_ORDER), Declined)
     next_order = dataclasses.replace(ORDER, request_id="r-3", body=b"next")
     driver.start_exchange(next_order, 1_500.0)
-    upstream.reads_on.set()
     upstream.close()
     driver.close()
     assert set(upstream.body[: len(LONG_ORDER.body)]) <= {ord("b")}
@@ -515,11 +464,10 @@
 def test_an_early_answer_on_a_new_connection_is_passed_on():
     # Guards against an answer that is read only once the whole body is written, by when
     # the exchange has failed and a request that was rejected counts as unknown.
-    upstream = EarlyAnsweringUpstream(requests=1)
+    upstream = EarlyAnsweringServer(create_rejection, requests=1)
     driver = ConnectionDriver(upstream.create_record())
     assert isinstance(run_exchange(driver, LONG_ORDER), Declined)
     assert not driver.is_open
-    upstream.reads_on.set()
     upstream.close()
     driver.close()
 
@@ -574,7 +522,7 @@
     start_upstream, monkeypatch
 ):
     # Guards against a request that is written to a connection which is about to be
-    # closed as unusable, and once more to the next.
+    # closed as unusable, and then awaits its reply on the next or is written there too.
     upstream, driver = start_upstream()
     run_exchange(driver)
     dropped = connections.metrics.dropped_total
--- a/tests/test_exchange.py
+++ b/tests/test_exchange.py
@@ -57,6 +57,16 @@
         connection.close()
 
 
+def create_record(listener):
+    return UpstreamRecord(
+        name="u",
+        host="127.0.0.1",
+        port=listener.getsockname()[1],
+        service="s",
+        failure_domain="a",
+    )
+
+
 def run_subrequest(upstream, subrequest=QUERY, connection=None, budget_ms=2000.0):
     connection = connection or SubrequestConnection(
         record=upstream.describe("u"), clock=CLOCK, reply_memory=MEMORY
@@ -238,13 +248,7 @@
         sock.close()
 
     threading.Thread(target=read_part_and_reset, daemon=True).start()
-    record = UpstreamRecord(
-        name="u",
-        host="127.0.0.1",
-        port=listener.getsockname()[1],
-        service="s",
-        failure_domain="a",
-    )
+    record = create_record(listener)
     body = {"filler": "x" * 30_000_000}
     order = dataclasses.replace(ORDER, body=body)
     outcome = SubrequestConnection(record=record, clock=CLOCK, reply_memory=MEMORY).run(
@@ -276,13 +280,7 @@
         sock.sendall(head + body)
 
     threading.Thread(target=refuse_early, daemon=True).start()
-    record = UpstreamRecord(
-        name="u",
-        host="127.0.0.1",
-        port=listener.getsockname()[1],
-        service="s",
-        failure_domain="a",
-    )
+    record = create_record(listener)
     connection = SubrequestConnection(record=record, clock=CLOCK, reply_memory=MEMORY)
     query = dataclasses.replace(QUERY, body={"filler": "x" * 30_000_000})
     outcome = connection.run(query, CLOCK.now_ms() + 2_000)
--- a/tests/test_exchange_ends.py
+++ b/tests/test_exchange_ends.py
@@ -22,41 +22,24 @@
 HEAD_END = b"\r\n\r\n"
 
 
-class FaultyUpstream:
+class FaultyUpstream(HttpUpstream):
     """Ends each exchange in a way that is drawn, and keeps all bytes that it reads.
 
     Attributes:
         streams: What was read from each connection.
     """
 
-    create_record = HttpUpstream.create_record
-
     def __init__(self, rng):
+        super().__init__(handler=None)
         self.streams = []
         self._rng = rng
         self._pause = threading.Event()
-        self._listener = socket.create_server(("127.0.0.1", 0))
         # A small window, so that a long body waits for its reader.
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
-        self.port = self._listener.getsockname()[1]
-        threading.Thread(target=self._accept, daemon=True).start()
-
-    def close(self):
-        with contextlib.suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-
-    def _accept(self):
-        with contextlib.suppress(OSError):
-            while True:
-                sock, _ = self._listener.accept()
-                stream = bytearray()
-                self.streams.append(stream)
-                threading.Thread(
-                    target=self._serve, args=(sock, stream), daemon=True
-                ).start()
-
-    def _serve(self, sock, stream):
+
+    def _serve(self, sock):
+        stream = bytearray()
+        self.streams.append(stream)
         with contextlib.suppress(OSError), sock, sock.makefile("rb") as file:
             while head := read_head(file, stream):
                 end = self._rng.choice(ENDS)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,6 +13,7 @@
 from gooseberrymux.platform import BODY_LIMIT_BYTES, Platform
 from gooseberrymux.platform_objects import PlatformObject, VersionConflict, Written
 from gooseberrymux.records import RunState
+from http_scripted import EarlyAnsweringServer
 
 
 class RawServer:
@@ -223,50 +224,18 @@
     server.server_close()
 
 
-class EarlyRefusingServer:
-    """Refuses the first request before it has read its body, and reads on later.
-
-    Attributes:
-        received: All bytes after the head of the first request.
-    """
-
-    def __init__(self):
-        self.received = b""
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        # A small window, so that the body can't arrive before it is read.
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8_192)
-        self.url = f"http://127.0.0.1:{self._listener.getsockname()[1]}"
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self._thread.start()
-
-    def close(self):
-        self._thread.join(10)
-        self._listener.close()
-
-    def _serve(self):
-        sock, _ = self._listener.accept()
-        with sock:
-            data = b""
-            while b"\r\n\r\n" not in data:
-                data += sock.recv(4_096)
-            self.received = data.split(b"\r\n\r\n", 1)[1]
-            sock.sendall(b"HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n")
-            sock.settimeout(0.5)
-            with contextlib.suppress(OSError):
-                while data := sock.recv(65_536):
-                    self.received += data
-
-
 def test_no_call_lands_within_a_body_that_the_platform_refused_early():
     # Guards against a call that the platform reads as the rest of the one before, which
     # it has refused before the body was in.
-    server = EarlyRefusingServer()
-    platform = create_platform(server.url)
+    server = EarlyAnsweringServer(
+        lambda head: b"HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n"
+    )
+    platform = create_platform(f"http://127.0.0.1:{server.port}")
     value = {"x": "v" * (BODY_LIMIT_BYTES - 1_000)}
     refused = platform.put(name="a/b", value=value, expected_version=3)
     assert refused.unwrap_err().run_state is RunState.NOT_RUN
     platform.get("c")
     server.close()
-    body, _, rest = server.received.partition(b"}GET /objects/c")
+    body, _, rest = server.body.partition(b"}GET /objects/c")
     assert body.count(b"v") >= len(value["x"]) and b"GET" not in body
     assert rest
